--- /dev/null
+++ b/larkcrank/core/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions (balancer) and the records they take and give (interface)."""
--- /dev/null
+++ b/larkcrank/core/balancer.py
@@ -0,0 +1,490 @@
+"""Every decision of larkcrank: one Balancer an instance, events in, actions out.
+
+Types, events and actions: larkcrank/core/interface.py. Why it does what it does: docs/design.md.
+All times are milliseconds on the caller's clock, all rates sends a millisecond.
+"""
+
+import heapq
+import math
+from dataclasses import dataclass, field
+from random import Random
+
+from larkcrank.core.interface import (
+    Action, Address, Cancel, ClientGone, DiscoveryFailed, Effect, Endpoint, Event, Fail, Group, Log, Outcome,
+    Refuse, Request, RequestClass, Result, Send, ServerList, Settings, SetTimer, State, StreamStarted,
+    TimerFired, Watch,
+)  # fmt: skip
+
+BETA = 0.20  # share of the rate that an event takes off (CARD)
+REGAIN_WINDOWS = 20  # windows until a cut limit is back at M; fixes C ("tens of windows")
+HYSTERESIS_WINDOWS = 2  # no event sooner than this after the limit last rose (CARD: 10 ms of 5 ms)
+SPAN_SENDS = 4  # sends to a mean server in one comparison span: "a few answers"
+SPAN_MAX_MS = 5000.0  # a span longer than this compares yesterday's weather
+CHANCE_MISSES = 1.5  # misses in a span that chance alone may bring ...
+CHANCE_SHARE = 0.1  # ... and the share of its sends; above both, sends outrun answers
+FLOOR_SPANS = 1.0  # a limit never falls below one send in this many spans
+OVERDUE_TIMES = 3.0  # an answer is overdue after this many usual answer times ...
+OVERDUE_AIM = 0.5  # ... or this share of its aim: later leaves no time to mend it
+USUAL_WEIGHT = 0.05  # of one answer in the usual answer time: some twenty answers
+FIRST_USUAL_AIM = 0.2  # usual answer time before any answer, as a share of the aim
+BENCH_DOUBLINGS = 4  # a failing server is left alone for 1, 2, 4 ... overdue times, doubled so often
+RETRY_SHARE = 0.2  # further attempts allowed, as a share of requests taken
+RETRY_SAVED = 10.0  # further attempts that a quiet time may save up
+COLD_CAUTION = 0.7  # of the share of its capacity that a cold server surely has
+RATE_MS = 2000.0  # time constant of the rate of requests
+TENANT_MS = 5000.0  # time constant of what a tenant has had
+ASK_FIRST_MS = 200.0  # discovery is asked within this after a start: no herd
+ASK_AGAIN_MS = (500.0, 8000.0)  # first and longest wait after a failed call, jittered
+ASK_LOST_MS = 10000.0  # a call without any answer for this long is made again
+
+
+@dataclass(slots=True)
+class Meter:
+    """A count that fades with a time constant; as a rate, corrected for its youth."""
+
+    born: float
+    at: float
+    count: float = 0.0
+
+    def add(self, now: float, span: float, amount: float = 1.0) -> None:
+        self.count = self.faded(now, span) + amount
+        self.at = now
+
+    def faded(self, now: float, span: float) -> float:
+        return self.count * math.exp((self.at - now) / span)
+
+    def rate(self, now: float, span: float) -> float:
+        return self.faded(now, span) / (span * (1.0 - math.exp(-max(now - self.born, span / 4) / span)))
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """A server as this instance knows it by its own traffic."""
+
+    endpoint: Endpoint
+    sends: Meter
+    settled: Meter  # sends that were answered in time or missed, since the last event
+    missed: Meter  # of these: failed, or overdue
+    credit: float  # sends left of the quota
+    window_at: float  # the window under way began
+    limit: float = math.inf  # sends a millisecond; infinite: no event yet
+    saturated: float = 0.0  # M
+    event_at: float = -math.inf
+    rose_at: float = -math.inf
+    owed: int = 0  # attempts out
+    overdue: int = 0  # of these, overdue
+    fails: int = 0  # failures, halved by each answer
+    benched_until: float = -math.inf
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    server: Server
+    sent_at: float
+    missed: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A request taken and not yet answered."""
+
+    id: int
+    index: int  # of its class
+    cls: RequestClass
+    tenant: int
+    aim_at: float
+    deadline: float
+    sends: int = 0
+    out: dict[int, Attempt] = field(default_factory=dict)
+    ran: Attempt | None = None  # the first attempt that may have run
+    tried: list[Server] = field(default_factory=list)
+    moving: bool = False  # called off to be sent elsewhere
+
+
+class Balancer:
+    """Round-robin behind a cubic limit for each server."""
+
+    def __init__(self, settings: Settings, rng: Random, now: float) -> None:
+        self._set = settings
+        self._rng = rng
+        self._now = now
+        self._actions: list[Action] = []
+        self._servers: dict[Address, Server] = {}  # all on the list, those that drain too
+        self._ring: list[Server] = []  # ready ones, in turn
+        self._turn = 0
+        self._jobs: dict[int, Job] = {}
+        self._held: list[Job] = []
+        self._attempts: dict[tuple[int, int], Attempt] = {}
+        self._due: list[tuple[float, int, str, object]] = []  # what the timer is for, soonest first
+        self._sequence = 0
+        self._armed, self._timer = math.inf, 0
+        self._usual = [cls.aim_ms * FIRST_USUAL_AIM for cls in settings.classes]
+        self._arrivals = Meter(now, now)
+        self._tenants = [Meter(now, now) for _ in settings.tenants]
+        self._retries = RETRY_SAVED
+        self._ask_wait = ASK_AGAIN_MS[0]
+        self._asking = False
+        self._told_holding = self._wake = -math.inf
+        if settings.must_ask:
+            self._at(now + rng.random() * ASK_FIRST_MS, "ask")
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Take one event at its time and return what to do."""
+        self._actions = []
+        window = self._window()
+        if now > self._armed + window:  # our own stall: the curves stood still with us, no backlog pours out
+            for server in self._servers.values():
+                server.event_at += now - self._armed
+                server.rose_at += now - self._armed
+                server.window_at = now
+        self._now = now
+        match event:
+            case Request():
+                self._take(event)
+            case Outcome():
+                self._outcome(event)
+            case ServerList():
+                self._list(event)
+            case DiscoveryFailed():
+                self._asking = False
+                self._at(now + self._ask_wait * (0.5 + self._rng.random()), "ask")
+                self._ask_wait = min(self._ask_wait * 2, ASK_AGAIN_MS[1])
+            case ClientGone():
+                self._close(event.id)
+            case StreamStarted():
+                self._close(event.id, but=event.attempt)
+            case TimerFired() if event.token == self._timer:
+                self._armed = math.inf
+        self._run_due()
+        if self._held:
+            self._send_held()
+        self._arm()
+        return self._actions
+
+    # Time
+
+    def _at(self, when: float, what: str, about: object = None) -> None:
+        self._sequence += 1
+        heapq.heappush(self._due, (when, self._sequence, what, about))
+
+    def _arm(self) -> None:
+        if self._due and self._due[0][0] < self._armed:
+            self._armed = max(self._due[0][0], self._now)
+            self._timer += 1
+            self._actions.append(SetTimer(self._armed - self._now, self._timer))
+
+    def _run_due(self) -> None:
+        while self._due and self._due[0][0] <= self._now:
+            when, _, what, about = heapq.heappop(self._due)
+            if isinstance(about, Job) and self._jobs.get(about.id) is about:
+                self._give_up(about)
+            elif isinstance(about, tuple) and (attempt := self._attempts.get(about)) is not None:
+                if when < self._now - self._window():  # we were late ourselves: answers may be waiting too
+                    self._at(self._now + 2 * self._set.tick_ms, what, about)
+                else:
+                    self._overdue(about[0], attempt)
+            elif what == "ask" and not self._asking:
+                self._asking = True
+                self._actions.append(Watch())
+                self._at(self._now + ASK_LOST_MS, "lost")
+            elif what == "lost" and self._asking:
+                self._asking = False
+                self._at(self._now, "ask")
+
+    # The traffic this instance sees
+
+    def _window(self) -> float:
+        """Windows of one usual answer time: shorter ones would see sends without their answers."""
+        return max(sum(self._usual) / len(self._usual), 2 * self._set.tick_ms)
+
+    def _rate(self) -> float:
+        """Requests that a ready server would get at even turns."""
+        return self._arrivals.rate(self._now, RATE_MS) / max(len(self._ring), 1)
+
+    def _span(self) -> float:
+        sends = SPAN_SENDS / max(self._rate(), 1e-9)
+        return min(max(sends, 2 * self._window()), SPAN_MAX_MS)
+
+    def _patience(self, job: Job) -> float:
+        return min(OVERDUE_TIMES * self._usual[job.index], OVERDUE_AIM * job.cls.aim_ms)
+
+    def _last_call(self, job: Job) -> float:
+        """When it is too late to send: an answer would miss the aim."""
+        return job.aim_at - min(self._usual[job.index], OVERDUE_AIM * job.cls.aim_ms)
+
+    # The limit
+
+    def _behind(self, server: Server) -> bool:
+        span = self._span()
+        missed = server.missed.faded(self._now, span)
+        return missed > max(CHANCE_MISSES, CHANCE_SHARE * server.settled.faded(self._now, span))
+
+    def _review(self, server: Server) -> None:
+        """Compare sends with answers: cut the limit, let it rise, or leave it."""
+        now = self._now
+        if self._behind(server):
+            if now - server.rose_at > HYSTERESIS_WINDOWS * self._window():
+                self._cut(server)
+        elif server.limit < math.inf:
+            regain = REGAIN_WINDOWS * self._window()  # K; C follows from it as BETA * M / K ** 3
+            growth = BETA * server.saturated / regain**3
+            server.limit = growth * (now - server.event_at - regain) ** 3 + server.saturated
+            server.rose_at = now
+
+    def _cut(self, server: Server) -> None:
+        now, span = self._now, self._span()
+        if server.limit == math.inf:
+            self._log(f"server {server.endpoint.address.hex()}: sends outrun answers, first limit")
+        server.saturated = max(min(server.sends.rate(now, span), server.limit), 1 / (FLOOR_SPANS * span))
+        server.limit = (1 - BETA) * server.saturated
+        server.event_at = server.rose_at = now
+        # One episode, one cut: only sends after this one can bring the next.
+        server.settled, server.missed = Meter(now, now), Meter(now, now)
+
+    def _has_quota(self, server: Server) -> bool:
+        pace, window = server.limit, self._window()
+        cold = self._set.warm_after_ms - (self._now - server.endpoint.started_at)
+        if server.endpoint.started_at and cold > 0:  # rule 4: our even share, of what it surely can do
+            sure = 1 - (1 - self._set.cold_from) * min(cold / self._set.warm_after_ms, 1.0)
+            pace = min(pace, COLD_CAUTION * sure * self._rate())
+        if pace == math.inf:
+            return True
+        if self._now >= server.window_at + window:
+            self._review(server)
+            earned = pace * (self._now - server.window_at)
+            server.credit = min(server.credit + earned, max(1.0, pace * window))
+            server.window_at = self._now
+        return server.credit >= 1.0
+
+    def _open(self, server: Server) -> bool:
+        """Whether a turn may go to this server now."""
+        if server.overdue or self._now < server.benched_until:
+            return False  # it owes an overdue answer, or fails: as good as spent
+        if server.fails and server.owed:
+            return False  # one trial at a time
+        return self._has_quota(server)
+
+    def _pick(self, job: Job) -> Server | None:
+        """The next server in turn with quota left that this request may go to."""
+        again, count = None, len(self._ring)
+        for step in range(count):
+            index = (self._turn + step) % count
+            server = self._ring[index]
+            if not self._may_go(job, server) or not self._open(server):
+                continue
+            if server in job.tried:
+                again = again or server
+                continue
+            self._turn = index + 1
+            return server
+        return again
+
+    def _may_go(self, job: Job, server: Server) -> bool:
+        """Rule 2: what may have run is repeated only where the repeat is harmless."""
+        if job.ran is None or job.cls.effect is Effect.SAFE:
+            return True
+        if job.cls.effect is Effect.UNSAFE:
+            return False
+        if self._now + self._set.tick_ms >= job.ran.sent_at + job.cls.window_ms:
+            return False
+        first, there = job.ran.server.endpoint, server.endpoint
+        return {Group.ALL: True, Group.ZONE: first.zone == there.zone, Group.CELL: first.cell == there.cell}[
+            job.cls.group
+        ]
+
+    # Requests
+
+    def _take(self, request: Request) -> None:
+        now, cls = self._now, self._set.classes[request.cls]
+        deadline = now + request.time_left_ms
+        aim = deadline if cls.late_worth else min(now + cls.aim_ms, deadline)
+        job = Job(request.id, request.cls, cls, request.tenant, aim, deadline)
+        self._jobs[job.id] = job
+        self._arrivals.add(now, RATE_MS)
+        self._retries = min(self._retries + RETRY_SHARE, RETRY_SAVED)
+        if request.time_left_ms <= self._set.tick_ms:
+            self._give_up(job)
+            return
+        self._at(deadline - 2 * self._set.tick_ms, "backstop", job)
+        self._held.append(job)
+
+    def _share(self, job: Job) -> float:
+        """What its tenant has had of late, against its share; under 1 goes first."""
+        if not self._tenants:
+            return 0.0
+        had = self._tenants[job.tenant].faded(self._now, TENANT_MS)
+        total = sum(meter.faded(self._now, TENANT_MS) for meter in self._tenants)
+        return had / max(total * self._set.tenants[job.tenant].portion, 1e-9)
+
+    def _send_held(self) -> None:
+        """Send what quotas allow: tenants within their share first, then who can wait least."""
+        if len(self._held) > 1:
+            self._held.sort(key=lambda job: (self._share(job) > 1.0, self._last_call(job)))
+        left: list[Job] = []
+        for job in self._held:
+            server = self._pick(job)
+            if server is not None:
+                self._send(job, server)
+            elif self._now >= self._last_call(job):
+                self._give_up(job)
+            else:
+                left.append(job)
+        self._held = left
+        if left:
+            if self._wake <= self._now:
+                self._wake = self._now + max(self._window() / 4, self._set.tick_ms)
+                self._at(self._wake, "window")
+            if self._now > self._told_holding + SPAN_MAX_MS:
+                self._log(f"holding {len(left)}: no quota left on any of {len(self._ring)} servers")
+            self._told_holding = self._now
+
+    def _send(self, job: Job, server: Server) -> None:
+        attempt = Attempt(server, self._now)
+        key = (job.id, job.sends)
+        if job.sends == 0 and self._tenants:
+            self._tenants[job.tenant].add(self._now, TENANT_MS)
+        job.out[job.sends] = self._attempts[key] = attempt
+        job.sends += 1
+        job.tried.append(server)
+        server.owed += 1
+        server.credit -= 1.0
+        server.sends.add(self._now, self._span())
+        self._actions.append(Send(job.id, server.endpoint.address))
+        self._at(self._now + self._patience(job), "overdue", key)
+
+    def _may_repeat(self, job: Job) -> bool:
+        """Whether another attempt is allowed, paid for, and in time."""
+        return (
+            job.sends < self._set.max_attempts
+            and self._retries >= 1.0
+            and self._now < self._last_call(job)
+            and any(self._may_go(job, server) for server in self._ring)
+        )
+
+    def _give_up(self, job: Job) -> None:
+        harmless = (
+            job.cls.effect is Effect.SAFE
+            or (job.ran is None and not job.out)
+            or (job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL)
+        )
+        hint = self._set.max_retry_after_ms if self._set.retry_after else 0.0
+        self._actions.append(Refuse(job.id, hint) if harmless else Fail(job.id))
+        self._close(job.id)
+
+    def _close(self, number: int, but: int = -1) -> None:
+        """Forget a request that has its answer; call off what is still out for it."""
+        job = self._jobs.pop(number, None)
+        if job is None:
+            return
+        if job in self._held:
+            self._held.remove(job)
+        if self._set.may_cancel:
+            self._actions.extend(Cancel(number, index) for index in job.out if index != but)
+
+    # Attempts
+
+    def _miss(self, attempt: Attempt) -> None:
+        if attempt.missed:
+            return
+        attempt.missed = True
+        server = attempt.server
+        if attempt.sent_at >= server.event_at:  # a send before the cut belongs to that episode
+            server.settled.add(self._now, self._span())
+            server.missed.add(self._now, self._span())
+            self._review(server)
+
+    def _overdue(self, number: int, attempt: Attempt) -> None:
+        """An answer is overdue: its server is passed over, the request moves on where it may."""
+        attempt.server.overdue += 1
+        self._miss(attempt)
+        job = self._jobs.get(number)
+        if job is None or len(job.out) != 1 or job.moving or job.cls.effect is Effect.UNSAFE:
+            return
+        job.ran = job.ran or attempt
+        if not self._may_repeat(job):
+            return
+        if self._set.second_copies:
+            server = self._pick(job)
+            if server is not None and server not in job.tried:
+                self._retries -= 1.0
+                self._send(job, server)
+        elif self._set.may_cancel and self._pick(job) is not None:
+            job.moving = True
+            self._actions.extend(Cancel(number, index) for index in job.out)
+
+    def _outcome(self, event: Outcome) -> None:
+        attempt = self._attempts.pop((event.id, event.attempt), None)
+        job = self._jobs.get(event.id)
+        if attempt is not None:
+            self._learn(event, attempt, job)
+        if event.closed:
+            if job is not None:
+                job.out.pop(event.attempt, None)
+                self._close(event.id)
+            return
+        if job is None or attempt is None:
+            return
+        job.out.pop(event.attempt, None)
+        if not event.result.never_ran and job.ran is None:
+            job.ran = attempt
+        if job.out:
+            return
+        job.moving = False
+        if self._may_repeat(job):
+            self._retries -= 1.0
+            self._held.append(job)
+        else:
+            self._give_up(job)
+
+    def _learn(self, event: Outcome, attempt: Attempt, job: Job | None) -> None:
+        server, now = attempt.server, self._now
+        server.owed -= 1
+        if attempt.missed:
+            server.overdue -= 1
+        if event.result is Result.OK:
+            if job is not None:
+                self._usual[job.index] += USUAL_WEIGHT * (event.elapsed_ms - self._usual[job.index])
+            if not attempt.missed:
+                server.settled.add(now, self._span())
+            server.fails //= 2
+        elif event.result is Result.NOT_SENT or (event.result is Result.CANCELLED and not attempt.missed):
+            return  # says nothing of the server
+        else:
+            self._miss(attempt)
+            wait = self._window() * OVERDUE_TIMES * 2 ** min(server.fails, BENCH_DOUBLINGS)
+            server.benched_until = now + wait
+            server.fails += 1
+            if server.fails == BENCH_DOUBLINGS:
+                self._log(f"server {server.endpoint.address.hex()}: {event.result.value}, left alone")
+
+    # Discovery
+
+    def _list(self, event: ServerList) -> None:
+        if not event.cached:
+            self._asking, self._ask_wait = False, ASK_AGAIN_MS[0]
+        if event.complete:
+            named = {endpoint.address for endpoint in event.endpoints}
+            for address in [address for address in self._servers if address not in named]:
+                del self._servers[address]
+        for endpoint in event.endpoints:
+            known = self._servers.get(endpoint.address)
+            if endpoint.state is State.GONE:
+                self._servers.pop(endpoint.address, None)
+            elif known is None or known.endpoint.started_at != endpoint.started_at:
+                self._servers[endpoint.address] = self._newcomer(endpoint)
+            else:
+                known.endpoint = endpoint
+        first = not self._ring
+        self._ring = [server for server in self._servers.values() if server.endpoint.state is State.READY]
+        if first and self._ring:
+            self._turn = self._rng.randrange(len(self._ring))
+        elif event.cached:
+            self._log(f"started with a list of {len(self._ring)} servers")
+
+    def _newcomer(self, endpoint: Endpoint) -> Server:
+        now = self._now
+        meters = Meter(now, now), Meter(now, now), Meter(now, now)
+        return Server(endpoint, *meters, credit=self._rng.random(), window_at=now)
+
+    def _log(self, text: str) -> None:
+        self._actions.append(Log(text))
--- /dev/null
+++ b/larkcrank/core/interface.py
@@ -0,0 +1,278 @@
+"""Everything that passes between a transport and the balancer: settings, events and actions.
+
+A transport feeds events to `Balancer.handle` with the time and carries out the actions it returns.
+All times are milliseconds on one clock that never runs backwards. A server's address is an opaque
+byte string that the transport understands; the balancer only compares it.
+"""
+
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+from typing import TypeAlias
+
+Address: TypeAlias = bytes
+
+
+class Effect(Enum):
+    """What a repeat of a request does."""
+
+    SAFE = "safe"  # may be repeated at will
+    KEYED = "keyed"  # a repeat is dropped inside a group of servers, for a while
+    UNSAFE = "unsafe"  # must never run twice
+
+
+class Group(Enum):
+    """The servers that drop repeats of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class State(IntEnum):
+    """What discovery says of a server."""
+
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class Result(Enum):
+    """How an attempt ended."""
+
+    OK = "ok"
+    ERROR = "error"  # answered with an error; may have run
+    REJECTED = "rejected"  # turned away unseen; never ran
+    TIMEOUT = "timeout"  # may have run, or be running
+    CONNECT_FAILED = "connect failed"  # never ran
+    RESET = "reset"  # the connection broke; may have run
+    CANCELLED = "cancelled"  # called off by the balancer; may have run
+    NOT_SENT = "not sent"  # never left; says nothing of the server
+
+    @property
+    def never_ran(self) -> bool:
+        return self in (Result.REJECTED, Result.CONNECT_FAILED, Result.NOT_SENT)
+
+
+@dataclass(slots=True, frozen=True)
+class RequestClass:
+    name: str
+    effect: Effect
+    group: Group
+    aim_ms: float  # an answer within this earns its worth
+    deadline_ms: float
+    window_ms: float  # how long a keyed repeat is dropped
+    worth: float
+    late_worth: float = 0.0  # share of the worth that a late answer still earns
+    streaming: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Tenant:
+    name: str
+    portion: float  # its share of the service
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    classes: tuple[RequestClass, ...]
+    tenants: tuple[Tenant, ...] = ()
+    zone: int = 0
+    ordinal: int = 0
+    instances: int = 1
+    must_ask: bool = False  # discovery tells changes only to those who asked
+    may_cancel: bool = False
+    may_probe: bool = False
+    second_copies: bool = False
+    retry_after: bool = False
+    max_retry_after_ms: float = 0.0
+    max_attempts: int = 1
+    tick_ms: float = 1.0  # events come no oftener than this
+    cold_from: float = 1.0  # a server starts at this share of its capacity or more
+    warm_after_ms: float = 0.0
+    fall_multiple: float = 1.0  # more than this multiple of its present capacity ...
+    fall_ms: float = 1000.0  # ... for this long and a cold server falls over
+
+
+@dataclass(slots=True, frozen=True)
+class Endpoint:
+    """A line of the server list."""
+
+    address: Address
+    state: State = State.READY
+    zone: int = 0
+    cell: int = 0
+    kind: int = 0
+    weight: float = 1.0
+    started_at: float = 0.0  # 0: long ago
+
+
+# Events
+
+
+@dataclass(slots=True, frozen=True)
+class Request:
+    id: int
+    cls: int
+    time_left_ms: float
+    tenant: int = 0
+    key: int = 0
+    cost_ms: float | None = None
+    is_retry: bool = False
+    is_write: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class StreamStarted:
+    """The answer's first part has gone to the client; from here on the attempt is the client's."""
+
+    id: int
+    attempt: int
+    address: Address
+    elapsed_ms: float
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    id: int
+    attempt: int
+    address: Address
+    result: Result
+    elapsed_ms: float
+    closed: bool  # the request has its final answer
+    load: tuple[float, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class ClientGone:
+    """The client no longer waits; nothing more is owed."""
+
+    id: int
+
+
+@dataclass(slots=True, frozen=True)
+class ServerList:
+    endpoints: tuple[Endpoint, ...]
+    complete: bool  # whole list, or changed lines only
+    cached: bool = False  # the list held before a restart, perhaps old
+    revision: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class DiscoveryFailed:
+    """A call to discovery failed or the watch broke; the list held stands."""
+
+
+@dataclass(slots=True, frozen=True)
+class TimerFired:
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class ProbeResult:
+    address: Address
+    result: Result
+    elapsed_ms: float
+    load: tuple[float, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class PeerMessage:
+    """From another instance, where a deployment lets them talk. The balancer does not use it."""
+
+    sender: int
+    body: bytes
+
+
+Event: TypeAlias = (
+    Request
+    | StreamStarted
+    | Outcome
+    | ClientGone
+    | ServerList
+    | DiscoveryFailed
+    | TimerFired
+    | ProbeResult
+    | PeerMessage
+)
+
+# Actions
+
+
+@dataclass(slots=True, frozen=True)
+class Send:
+    """Start an attempt. `stop_at_ms` 0 means when the client gives up."""
+
+    id: int
+    address: Address
+    stop_at_ms: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class Refuse:
+    """Final answer: a retry will do no harm."""
+
+    id: int
+    retry_after_ms: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class Fail:
+    """Final answer: nothing is promised."""
+
+    id: int
+
+
+@dataclass(slots=True, frozen=True)
+class Cancel:
+    """Stop waiting for one attempt. Its outcome still comes."""
+
+    id: int
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class Probe:
+    address: Address
+
+
+@dataclass(slots=True, frozen=True)
+class SetTimer:
+    wait_ms: float
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class Watch:
+    """Subscribe to changes of the server list."""
+
+    on: bool = True
+
+
+@dataclass(slots=True, frozen=True)
+class FetchList:
+    """Ask for the whole server list once."""
+
+
+@dataclass(slots=True, frozen=True)
+class CloseIdle:
+    """Close the connections to a server on which nothing is under way."""
+
+    address: Address
+
+
+@dataclass(slots=True, frozen=True)
+class Tell:
+    """A message to one other instance, or to all of them (None)."""
+
+    to: int | None
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Log:
+    text: str
+
+
+Action: TypeAlias = (
+    Send | Refuse | Fail | Cancel | Probe | SetTimer | Watch | FetchList | CloseIdle | Tell | Log
+)
--- /dev/null
+++ b/larkcrank/simwire/settings.py
@@ -0,0 +1,110 @@
+"""The settings text of the simulator's wire to the balancer's `Settings`. Unknown keys are ignored."""
+
+import msgspec
+
+from larkcrank.core.interface import Effect, Group, RequestClass, Settings, Tenant
+
+_EFFECTS = {"retryable": Effect.SAFE, "dedup": Effect.KEYED, "fragile": Effect.UNSAFE}
+_GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+
+
+class SettingsError(Exception):
+    """The settings are not JSON or lack what a decision needs."""
+
+
+class _Wire(msgspec.Struct, rename="kebab"):
+    """Names on the wire have hyphens where ours have underscores."""
+
+
+class _Grade(_Wire):
+    name: str
+    effect: str
+    aim_ms: float
+    deadline_ms: float
+    points: float = 1.0
+    group: str = "all"
+    window_ms: float = 0.0
+    late_value: float = 0.0
+    streaming: bool = False
+
+
+class _Customer(_Wire):
+    name: str
+    portion: float = 0.0
+
+
+class _Bounds(_Wire):
+    send_cap: int
+    may_cancel: bool = False
+    probes: bool = False
+    second_copies: bool = False
+    retry_after: bool = False
+    max_retry_after_ms: float = 0.0
+
+
+class _Contract(_Wire):
+    cold_from: float
+    warm_after_ms: float
+    fall_multiple: float
+    fall_ms: float
+
+
+class _Config(_Wire):
+    grades: list[_Grade]
+    bounds: _Bounds
+    contract: _Contract
+    customers: list[_Customer] = []
+    registry_mode: str = "subscribe"
+    resolution_ms: float = 1.0
+    az: int = 0
+    ordinal: int = 0
+    n_instances: int = 1
+
+
+_decoder = msgspec.json.Decoder(_Config)
+
+
+def parse(text: bytes) -> Settings:
+    try:
+        config = _decoder.decode(text)
+    except msgspec.DecodeError as error:  # ValidationError is one too
+        raise SettingsError(f"settings: {error}") from None
+    bounds, contract = config.bounds, config.contract
+    return Settings(
+        classes=tuple(_request_class(i, grade) for i, grade in enumerate(config.grades)),
+        tenants=tuple(Tenant(c.name, c.portion) for c in config.customers),
+        zone=config.az,
+        ordinal=config.ordinal,
+        instances=config.n_instances,
+        must_ask=config.registry_mode != "automatic",
+        may_cancel=bounds.may_cancel,
+        may_probe=bounds.probes,
+        second_copies=bounds.second_copies,
+        retry_after=bounds.retry_after,
+        max_retry_after_ms=bounds.max_retry_after_ms,
+        max_attempts=bounds.send_cap,
+        tick_ms=config.resolution_ms,
+        cold_from=contract.cold_from,
+        warm_after_ms=contract.warm_after_ms,
+        fall_multiple=contract.fall_multiple,
+        fall_ms=contract.fall_ms,
+    )
+
+
+def _request_class(index: int, grade: _Grade) -> RequestClass:
+    effect, group = _EFFECTS.get(grade.effect), _GROUPS.get(grade.group)
+    if effect is None:
+        raise SettingsError(f"settings: unknown effect {grade.effect!r} - at `$.grades[{index}].effect`")
+    if group is None:
+        raise SettingsError(f"settings: unknown group {grade.group!r} - at `$.grades[{index}].group`")
+    return RequestClass(
+        name=grade.name,
+        effect=effect,
+        group=group,
+        aim_ms=grade.aim_ms,
+        deadline_ms=grade.deadline_ms,
+        window_ms=grade.window_ms,
+        worth=grade.points,
+        late_worth=grade.late_value,
+        streaming=grade.streaming,
+    )
