Count owed answers against a server's quota

Cause: overload and slow servers kept getting turns until an answer was overdue, so queues built up and servers choked. A server that owes more than even turns leave unanswered, plus chance, is now passed over.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -22,6 +22,7 @@
 SPAN_MAX_MS = 5000.0  # a span longer than this compares yesterday's weather
 CHANCE_MISSES = 1.5  # misses in a span that chance alone may bring ...
 CHANCE_SHARE = 0.1  # ... and the share of its sends; above both, sends outrun answers
+CHANCE_OWED = 1.5  # standard deviations of chance in the number of attempts out
 FLOOR_SPANS = 1.0  # a limit never falls below one send in this many spans
 OVERDUE_TIMES = 3.0  # an answer is overdue after this many usual answer times ...
 OVERDUE_AIM = 0.5  # ... or this share of its aim: later leaves no time to mend it
@@ -233,8 +234,6 @@
 
     def _cut(self, server: Server) -> None:
         now, span = self._now, self._span()
-        if server.limit == math.inf:
-            self._log(f"server {server.endpoint.address.hex()}: sends outrun answers, first limit")
         server.saturated = max(min(server.sends.rate(now, span), server.limit), 1 / (FLOOR_SPANS * span))
         server.limit = (1 - BETA) * server.saturated
         server.event_at = server.rose_at = now
@@ -262,6 +261,9 @@
             return False  # it owes an overdue answer, or fails: as good as spent
         if server.fails and server.owed:
             return False  # one trial at a time
+        due = self._rate() * self._window()  # what even turns leave unanswered
+        if server.owed and server.owed + 1 > due + CHANCE_OWED * math.sqrt(due):
+            return False  # sends run ahead of answers: what is owed counts against the quota
         return self._has_quota(server)
 
     def _pick(self, job: Job) -> Server | None:
