--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -94,7 +94,7 @@
     cls: RequestClass
     tenant: int
     aim_at: float
-    deadline: float
+    last_call: float = 0.0  # held longer than this, its answer would miss the aim
     sends: int = 0
     out: dict[int, Attempt] = field(default_factory=dict)
     ran: Attempt | None = None  # the first attempt that may have run
@@ -121,6 +121,7 @@
         self._armed, self._timer = math.inf, 0
         self._usual = [cls.aim_ms * FIRST_USUAL_AIM for cls in settings.classes]
         self._arrivals = Meter(now, now)
+        self._window = self._even = self._span = self._owe_most = 1.0  # measured at each event
         self._tenants = [Meter(now, now) for _ in settings.tenants]
         self._retries = RETRY_SAVED
         self._ask_wait = ASK_AGAIN_MS[0]
@@ -132,13 +133,15 @@
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take one event at its time and return what to do."""
         self._actions = []
-        window = self._window()
-        if now > self._armed + window:  # our own stall: the curves stood still with us, no backlog pours out
+        self._now = now
+        self._measure()
+        if (
+            now > self._armed + self._window
+        ):  # our own stall: the curves stood still with us, no backlog pours out
             for server in self._servers.values():
                 server.event_at += now - self._armed
                 server.rose_at += now - self._armed
                 server.window_at = now
-        self._now = now
         match event:
             case Request():
                 self._take(event)
@@ -180,7 +183,7 @@
             if isinstance(about, Job) and self._jobs.get(about.id) is about:
                 self._give_up(about)
             elif isinstance(about, tuple) and (attempt := self._attempts.get(about)) is not None:
-                if when < self._now - self._window():  # we were late ourselves: answers may be waiting too
+                if when < self._now - self._window:  # we were late ourselves: answers may be waiting too
                     self._at(self._now + 2 * self._set.tick_ms, what, about)
                 else:
                     self._overdue(about[0], attempt)
@@ -194,17 +197,15 @@
 
     # The traffic this instance sees
 
-    def _window(self) -> float:
-        """Windows of one usual answer time: shorter ones would see sends without their answers."""
-        return max(sum(self._usual) / len(self._usual), 2 * self._set.tick_ms)
-
-    def _rate(self) -> float:
-        """Requests that a ready server would get at even turns."""
-        return self._arrivals.rate(self._now, RATE_MS) / max(len(self._ring), 1)
-
-    def _span(self) -> float:
-        sends = SPAN_SENDS / max(self._rate(), 1e-9)
-        return min(max(sends, 2 * self._window()), SPAN_MAX_MS)
+    def _measure(self) -> None:
+        """What the traffic says now: the window, the even share and the span follow from it."""
+        # Windows of one usual answer time: shorter ones would see sends without their answers.
+        self._window = max(sum(self._usual) / len(self._usual), 2 * self._set.tick_ms)
+        # Requests that a ready server would get at even turns.
+        self._even = max(self._arrivals.rate(self._now, RATE_MS) / max(len(self._ring), 1), 1e-9)
+        self._span = min(max(SPAN_SENDS / self._even, 2 * self._window), SPAN_MAX_MS)
+        due = self._even * self._window  # answers that even turns leave a server owing
+        self._owe_most = due + CHANCE_OWED * math.sqrt(due)
 
     def _patience(self, job: Job) -> float:
         return min(OVERDUE_TIMES * self._usual[job.index], OVERDUE_AIM * job.cls.aim_ms)
@@ -216,7 +217,7 @@
     # The limit
 
     def _behind(self, server: Server) -> bool:
-        span = self._span()
+        span = self._span
         missed = server.missed.faded(self._now, span)
         return missed > max(CHANCE_MISSES, CHANCE_SHARE * server.settled.faded(self._now, span))
 
@@ -224,16 +225,16 @@
         """Compare sends with answers: cut the limit, let it rise, or leave it."""
         now = self._now
         if self._behind(server):
-            if now - server.rose_at > HYSTERESIS_WINDOWS * self._window():
+            if now - server.rose_at > HYSTERESIS_WINDOWS * self._window:
                 self._cut(server)
         elif server.limit < math.inf:
-            regain = REGAIN_WINDOWS * self._window()  # K; C follows from it as BETA * M / K ** 3
+            regain = REGAIN_WINDOWS * self._window  # K; C follows from it as BETA * M / K ** 3
             growth = BETA * server.saturated / regain**3
             server.limit = growth * (now - server.event_at - regain) ** 3 + server.saturated
             server.rose_at = now
 
     def _cut(self, server: Server) -> None:
-        now, span = self._now, self._span()
+        now, span = self._now, self._span
         server.saturated = max(min(server.sends.rate(now, span), server.limit), 1 / (FLOOR_SPANS * span))
         server.limit = (1 - BETA) * server.saturated
         server.event_at = server.rose_at = now
@@ -241,11 +242,11 @@
         server.settled, server.missed = Meter(now, now), Meter(now, now)
 
     def _has_quota(self, server: Server) -> bool:
-        pace, window = server.limit, self._window()
+        pace, window = server.limit, self._window
         cold = self._set.warm_after_ms - (self._now - server.endpoint.started_at)
         if server.endpoint.started_at and cold > 0:  # rule 4: our even share, of what it surely can do
             sure = 1 - (1 - self._set.cold_from) * min(cold / self._set.warm_after_ms, 1.0)
-            pace = min(pace, COLD_CAUTION * sure * self._rate())
+            pace = min(pace, COLD_CAUTION * sure * self._even)
         if pace == math.inf:
             return True
         if self._now >= server.window_at + window:
@@ -261,8 +262,7 @@
             return False  # it owes an overdue answer, or fails: as good as spent
         if server.fails and server.owed:
             return False  # one trial at a time
-        due = self._rate() * self._window()  # what even turns leave unanswered
-        if server.owed and server.owed + 1 > due + CHANCE_OWED * math.sqrt(due):
+        if server.owed and server.owed + 1 > self._owe_most:
             return False  # sends run ahead of answers: what is owed counts against the quota
         return self._has_quota(server)
 
@@ -300,7 +300,7 @@
         now, cls = self._now, self._set.classes[request.cls]
         deadline = now + request.time_left_ms
         aim = deadline if cls.late_worth else min(now + cls.aim_ms, deadline)
-        job = Job(request.id, request.cls, cls, request.tenant, aim, deadline)
+        job = Job(request.id, request.cls, cls, request.tenant if self._tenants else 0, aim)
         self._jobs[job.id] = job
         self._arrivals.add(now, RATE_MS)
         self._retries = min(self._retries + RETRY_SHARE, RETRY_SAVED)
@@ -308,36 +308,43 @@
             self._give_up(job)
             return
         self._at(deadline - 2 * self._set.tick_ms, "backstop", job)
+        self._hold(job)
+
+    def _hold(self, job: Job) -> None:
+        job.last_call = self._last_call(job)
         self._held.append(job)
 
-    def _share(self, job: Job) -> float:
-        """What its tenant has had of late, against its share; under 1 goes first."""
-        if not self._tenants:
-            return 0.0
-        had = self._tenants[job.tenant].faded(self._now, TENANT_MS)
-        total = sum(meter.faded(self._now, TENANT_MS) for meter in self._tenants)
-        return had / max(total * self._set.tenants[job.tenant].portion, 1e-9)
+    def _over_share(self) -> list[bool]:
+        """For each tenant, whether it has had more than its portion of late."""
+        had = [meter.faded(self._now, TENANT_MS) for meter in self._tenants]
+        pairs = zip(had, self._set.tenants, strict=True)
+        return [mine > tenant.portion * sum(had) for mine, tenant in pairs] or [False]
 
     def _send_held(self) -> None:
         """Send what quotas allow: tenants within their share first, then who can wait least."""
-        if len(self._held) > 1:
-            self._held.sort(key=lambda job: (self._share(job) > 1.0, self._last_call(job)))
+        if len(self._held) > 1 and any(self._open(server) for server in self._ring):
+            over = self._over_share()
+            self._held.sort(key=lambda job: (over[job.tenant], job.last_call))
+        waiting, self._held = self._held, []
         left: list[Job] = []
-        for job in self._held:
-            server = self._pick(job)
+        spent = False
+        for job in waiting:
+            server = None if spent else self._pick(job)
             if server is not None:
                 self._send(job, server)
-            elif self._now >= self._last_call(job):
+                continue
+            spent = spent or job.ran is None  # it might have gone anywhere: so nobody else can
+            if self._now >= job.last_call:
                 self._give_up(job)
             else:
                 left.append(job)
         self._held = left
         if left:
             if self._wake <= self._now:
-                self._wake = self._now + max(self._window() / 4, self._set.tick_ms)
+                self._wake = self._now + max(self._window / 4, self._set.tick_ms)
                 self._at(self._wake, "window")
             if self._now > self._told_holding + SPAN_MAX_MS:
-                self._log(f"holding {len(left)}: no quota left on any of {len(self._ring)} servers")
+                self._log(f"holding: no quota left on any of {len(self._ring)} servers")
             self._told_holding = self._now
 
     def _send(self, job: Job, server: Server) -> None:
@@ -350,7 +357,7 @@
         job.tried.append(server)
         server.owed += 1
         server.credit -= 1.0
-        server.sends.add(self._now, self._span())
+        server.sends.add(self._now, self._span)
         self._actions.append(Send(job.id, server.endpoint.address))
         self._at(self._now + self._patience(job), "overdue", key)
 
@@ -378,7 +385,7 @@
         job = self._jobs.pop(number, None)
         if job is None:
             return
-        if job in self._held:
+        if not job.out and job in self._held:
             self._held.remove(job)
         if self._set.may_cancel:
             self._actions.extend(Cancel(number, index) for index in job.out if index != but)
@@ -391,8 +398,8 @@
         attempt.missed = True
         server = attempt.server
         if attempt.sent_at >= server.event_at:  # a send before the cut belongs to that episode
-            server.settled.add(self._now, self._span())
-            server.missed.add(self._now, self._span())
+            server.settled.add(self._now, self._span)
+            server.missed.add(self._now, self._span)
             self._review(server)
 
     def _overdue(self, number: int, attempt: Attempt) -> None:
@@ -434,7 +441,7 @@
         job.moving = False
         if self._may_repeat(job):
             self._retries -= 1.0
-            self._held.append(job)
+            self._hold(job)
         else:
             self._give_up(job)
 
@@ -447,13 +454,13 @@
             if job is not None:
                 self._usual[job.index] += USUAL_WEIGHT * (event.elapsed_ms - self._usual[job.index])
             if not attempt.missed:
-                server.settled.add(now, self._span())
+                server.settled.add(now, self._span)
             server.fails //= 2
         elif event.result is Result.NOT_SENT or (event.result is Result.CANCELLED and not attempt.missed):
             return  # says nothing of the server
         else:
             self._miss(attempt)
-            wait = self._window() * OVERDUE_TIMES * 2 ** min(server.fails, BENCH_DOUBLINGS)
+            wait = self._window * OVERDUE_TIMES * 2 ** min(server.fails, BENCH_DOUBLINGS)
             server.benched_until = now + wait
             server.fails += 1
             if server.fails == BENCH_DOUBLINGS:
