--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -24,9 +24,10 @@
 CHANCE_SHARE = 0.1  # ... and the share of its sends; above both, sends outrun answers
 CHANCE_OWED = 1.5  # standard deviations of chance in the number of attempts out
 FLOOR_SPANS = 1.0  # a limit never falls below one send in this many spans
-OVERDUE_TIMES = 3.0  # an answer is overdue after this many usual answer times ...
+OVERDUE_TIMES = 4.0  # an answer is overdue after this many usual answer times ...
 OVERDUE_AIM = 0.5  # ... or this share of its aim: later leaves no time to mend it
-USUAL_WEIGHT = 0.05  # of one answer in the usual answer time: some twenty answers
+USUAL_DOWN = 0.05  # weight of a quicker answer in the usual answer time ...
+USUAL_UP = 0.01  # ... and of a slower one: a crowd must not make waiting look usual
 FIRST_USUAL_AIM = 0.2  # usual answer time before any answer, as a share of the aim
 BENCH_DOUBLINGS = 4  # a failing server is left alone for 1, 2, 4 ... overdue times, doubled so often
 RETRY_SHARE = 0.2  # further attempts allowed, as a share of requests taken
@@ -452,7 +453,8 @@
             server.overdue -= 1
         if event.result is Result.OK:
             if job is not None:
-                self._usual[job.index] += USUAL_WEIGHT * (event.elapsed_ms - self._usual[job.index])
+                off = event.elapsed_ms - self._usual[job.index]
+                self._usual[job.index] += (USUAL_UP if off > 0 else USUAL_DOWN) * off
             if not attempt.missed:
                 server.settled.add(now, self._span)
             server.fails //= 2
