Last call for held requests leaves two recent answer times

Cause: requests were sent with one mean answer time left, so about two in five of those came late and wasted the server.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -19,6 +19,9 @@
 REGAIN_WINDOWS = 20  # windows until a cut limit is back at M; fixes C ("tens of windows")
 HYSTERESIS_WINDOWS = 2  # no event sooner than this after the limit last rose (CARD: 10 ms of 5 ms)
 SPAN_SENDS = 4  # sends to a mean server in one comparison span: "a few answers"
+LAST_CALL_TIMES = 2.0  # recent answer times that a request must have left to be worth sending ...
+LAST_CALL_AIM = 0.6  # ... but not more than this share of its aim
+RECENT_WEIGHT = 0.05  # of one answer in the recent answer time: some twenty answers
 SPAN_MAX_MS = 5000.0  # a span longer than this compares yesterday's weather
 CHANCE_MISSES = 1.5  # misses in a span that chance alone may bring ...
 CHANCE_SHARE = 0.1  # ... and the share of its sends; above both, sends outrun answers
@@ -121,6 +124,7 @@
         self._sequence = 0
         self._armed, self._timer = math.inf, 0
         self._usual = [cls.aim_ms * FIRST_USUAL_AIM for cls in settings.classes]
+        self._recent = list(self._usual)
         self._arrivals = Meter(now, now)
         self._window = self._even = self._span = self._owe_most = 1.0  # measured at each event
         self._tenants = [Meter(now, now) for _ in settings.tenants]
@@ -213,7 +217,7 @@
 
     def _last_call(self, job: Job) -> float:
         """When it is too late to send: an answer would miss the aim."""
-        return job.aim_at - min(self._usual[job.index], OVERDUE_AIM * job.cls.aim_ms)
+        return job.aim_at - min(LAST_CALL_TIMES * self._recent[job.index], LAST_CALL_AIM * job.cls.aim_ms)
 
     # The limit
 
@@ -453,6 +457,7 @@
             server.overdue -= 1
         if event.result is Result.OK:
             if job is not None:
+                self._recent[job.index] += RECENT_WEIGHT * (event.elapsed_ms - self._recent[job.index])
                 off = event.elapsed_ms - self._usual[job.index]
                 self._usual[job.index] += (USUAL_UP if off > 0 else USUAL_DOWN) * off
             if not attempt.missed:
