--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -467,10 +467,12 @@
             return  # says nothing of the server
         else:
             self._miss(attempt)
-            wait = self._window * OVERDUE_TIMES * 2 ** min(server.fails, BENCH_DOUBLINGS)
-            server.benched_until = now + wait
-            server.fails += 1
-            if server.fails == BENCH_DOUBLINGS:
+            # Called off because overdue: slow, perhaps crowded. Only what truly failed is left alone longer.
+            failed = event.result is not Result.CANCELLED
+            wait = self._window * OVERDUE_TIMES * 2 ** (min(server.fails, BENCH_DOUBLINGS) if failed else 0)
+            server.benched_until = max(now + wait, server.benched_until)
+            server.fails += failed
+            if failed and server.fails == BENCH_DOUBLINGS:
                 self._log(f"server {server.endpoint.address.hex()}: {event.result.value}, left alone")
 
     # Discovery
