--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -22,9 +22,10 @@
 LAST_CALL_TIMES = 2.0  # recent answer times that a request must have left to be worth sending ...
 LAST_CALL_AIM = 0.6  # ... but not more than this share of its aim
 RECENT_WEIGHT = 0.05  # of one answer in the recent answer time: some twenty answers
+FLEET_SENDS = 12  # sends in one comparison span of all servers together
 SPAN_MAX_MS = 5000.0  # a span longer than this compares yesterday's weather
 CHANCE_MISSES = 1.5  # misses in a span that chance alone may bring ...
-CHANCE_SHARE = 0.1  # ... and the share of its sends; above both, sends outrun answers
+CHANCE_SHARE = 0.25  # ... and the share of its sends; above both, sends outrun answers
 CHANCE_OWED = 1.5  # standard deviations of chance in the number of attempts out
 FLOOR_SPANS = 1.0  # a limit never falls below one send in this many spans
 OVERDUE_TIMES = 4.0  # an answer is overdue after this many usual answer times ...
@@ -63,19 +64,71 @@
 
 
 @dataclass(slots=True, eq=False)
-class Server:
-    """A server as this instance knows it by its own traffic."""
+class Brake:
+    """CARD's limit on sends: cut when they outrun answers, regrown along a cubic."""
 
-    endpoint: Endpoint
     sends: Meter
     settled: Meter  # sends that were answered in time or missed, since the last event
     missed: Meter  # of these: failed, or overdue
     credit: float  # sends left of the quota
     window_at: float  # the window under way began
-    limit: float = math.inf  # sends a millisecond; infinite: no event yet
+    limit: float = math.inf  # sends a millisecond; infinite: no event yet, nothing binds
     saturated: float = 0.0  # M
     event_at: float = -math.inf
     rose_at: float = -math.inf
+
+    @classmethod
+    def new(cls, now: float, credit: float) -> "Brake":
+        return cls(Meter(now, now), Meter(now, now), Meter(now, now), credit, now)
+
+    def settle(self, now: float, window: float, span: float, sent_at: float, missed: bool) -> None:
+        """Count one send as answered in time or missed."""
+        if missed and sent_at < self.event_at:
+            return  # one episode, one cut: what went out before the cut belongs to it
+        self.settled.add(now, span)
+        if missed:
+            self.missed.add(now, span)
+            self.review(now, window, span)
+
+    def review(self, now: float, window: float, span: float) -> None:
+        """Compare sends with answers: cut the limit, let it rise, or leave it."""
+        chance = max(CHANCE_MISSES, CHANCE_SHARE * self.settled.faded(now, span))
+        if self.missed.faded(now, span) > chance:
+            if now - self.rose_at > HYSTERESIS_WINDOWS * window:
+                self.saturated = max(min(self.sends.rate(now, span), self.limit), 1 / (FLOOR_SPANS * span))
+                self.limit = (1 - BETA) * self.saturated
+                self.event_at = self.rose_at = now
+                self.settled, self.missed = Meter(now, now), Meter(now, now)
+        elif self.limit < math.inf:
+            regain = REGAIN_WINDOWS * window  # K; C follows from it as BETA * M / K ** 3
+            growth = BETA * self.saturated / regain**3
+            self.limit = growth * (now - self.event_at - regain) ** 3 + self.saturated
+            self.rose_at = now
+
+    def has_quota(self, now: float, window: float, span: float, most: float = math.inf) -> bool:
+        """Whether the window's quota allows a send; `most` is a limit from elsewhere."""
+        if min(self.limit, most) == math.inf:
+            return True
+        if now >= self.window_at + window:
+            self.review(now, window, span)
+            pace = min(self.limit, most)
+            self.credit = min(self.credit + pace * (now - self.window_at), max(1.0, pace * window))
+            self.window_at = now
+        return self.credit >= 1.0
+
+    def shift(self, stall: float, now: float) -> None:
+        """Our own stall: the curve stood still with us, and no quota piled up."""
+        self.event_at += stall
+        self.rose_at += stall
+        self.window_at = now
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """A server as this instance knows it by its own traffic."""
+
+    endpoint: Endpoint
+    brake: Brake
     owed: int = 0  # attempts out
     overdue: int = 0  # of these, overdue
     fails: int = 0  # failures, halved by each answer
@@ -126,7 +179,10 @@
         self._usual = [cls.aim_ms * FIRST_USUAL_AIM for cls in settings.classes]
         self._recent = list(self._usual)
         self._arrivals = Meter(now, now)
-        self._window = self._even = self._span = self._owe_most = 1.0  # measured at each event
+        self._fleet = Brake.new(now, 1.0)  # the same limit on the sum of all sends
+        self._window = self._even = self._span = self._fleet_span = self._owe_most = (
+            1.0  # measured at each event
+        )
         self._tenants = [Meter(now, now) for _ in settings.tenants]
         self._retries = RETRY_SAVED
         self._ask_wait = ASK_AGAIN_MS[0]
@@ -140,13 +196,9 @@
         self._actions = []
         self._now = now
         self._measure()
-        if (
-            now > self._armed + self._window
-        ):  # our own stall: the curves stood still with us, no backlog pours out
-            for server in self._servers.values():
-                server.event_at += now - self._armed
-                server.rose_at += now - self._armed
-                server.window_at = now
+        if now > self._armed + self._window:
+            for brake in [self._fleet, *(server.brake for server in self._servers.values())]:
+                brake.shift(now - self._armed, now)
         match event:
             case Request():
                 self._take(event)
@@ -209,6 +261,8 @@
         # Requests that a ready server would get at even turns.
         self._even = max(self._arrivals.rate(self._now, RATE_MS) / max(len(self._ring), 1), 1e-9)
         self._span = min(max(SPAN_SENDS / self._even, 2 * self._window), SPAN_MAX_MS)
+        all_sends = FLEET_SENDS / (self._even * max(len(self._ring), 1))
+        self._fleet_span = min(max(all_sends, 2 * self._window), SPAN_MAX_MS)
         due = self._even * self._window  # answers that even turns leave a server owing
         self._owe_most = due + CHANCE_OWED * math.sqrt(due)
 
@@ -219,47 +273,15 @@
         """When it is too late to send: an answer would miss the aim."""
         return job.aim_at - min(LAST_CALL_TIMES * self._recent[job.index], LAST_CALL_AIM * job.cls.aim_ms)
 
-    # The limit
-
-    def _behind(self, server: Server) -> bool:
-        span = self._span
-        missed = server.missed.faded(self._now, span)
-        return missed > max(CHANCE_MISSES, CHANCE_SHARE * server.settled.faded(self._now, span))
-
-    def _review(self, server: Server) -> None:
-        """Compare sends with answers: cut the limit, let it rise, or leave it."""
-        now = self._now
-        if self._behind(server):
-            if now - server.rose_at > HYSTERESIS_WINDOWS * self._window:
-                self._cut(server)
-        elif server.limit < math.inf:
-            regain = REGAIN_WINDOWS * self._window  # K; C follows from it as BETA * M / K ** 3
-            growth = BETA * server.saturated / regain**3
-            server.limit = growth * (now - server.event_at - regain) ** 3 + server.saturated
-            server.rose_at = now
-
-    def _cut(self, server: Server) -> None:
-        now, span = self._now, self._span
-        server.saturated = max(min(server.sends.rate(now, span), server.limit), 1 / (FLOOR_SPANS * span))
-        server.limit = (1 - BETA) * server.saturated
-        server.event_at = server.rose_at = now
-        # One episode, one cut: only sends after this one can bring the next.
-        server.settled, server.missed = Meter(now, now), Meter(now, now)
+    # Turns
 
     def _has_quota(self, server: Server) -> bool:
-        pace, window = server.limit, self._window
+        most = math.inf
         cold = self._set.warm_after_ms - (self._now - server.endpoint.started_at)
         if server.endpoint.started_at and cold > 0:  # rule 4: our even share, of what it surely can do
             sure = 1 - (1 - self._set.cold_from) * min(cold / self._set.warm_after_ms, 1.0)
-            pace = min(pace, COLD_CAUTION * sure * self._even)
-        if pace == math.inf:
-            return True
-        if self._now >= server.window_at + window:
-            self._review(server)
-            earned = pace * (self._now - server.window_at)
-            server.credit = min(server.credit + earned, max(1.0, pace * window))
-            server.window_at = self._now
-        return server.credit >= 1.0
+            most = COLD_CAUTION * sure * self._even
+        return server.brake.has_quota(self._now, self._window, self._span, most)
 
     def _open(self, server: Server) -> bool:
         """Whether a turn may go to this server now."""
@@ -274,6 +296,8 @@
     def _pick(self, job: Job) -> Server | None:
         """The next server in turn with quota left that this request may go to."""
         again, count = None, len(self._ring)
+        if not self._fleet.has_quota(self._now, self._window, self._fleet_span):
+            return None
         for step in range(count):
             index = (self._turn + step) % count
             server = self._ring[index]
@@ -361,8 +385,9 @@
         job.sends += 1
         job.tried.append(server)
         server.owed += 1
-        server.credit -= 1.0
-        server.sends.add(self._now, self._span)
+        for brake, span in (server.brake, self._span), (self._fleet, self._fleet_span):
+            brake.credit -= 1.0
+            brake.sends.add(self._now, span)
         self._actions.append(Send(job.id, server.endpoint.address))
         self._at(self._now + self._patience(job), "overdue", key)
 
@@ -397,20 +422,16 @@
 
     # Attempts
 
-    def _miss(self, attempt: Attempt) -> None:
-        if attempt.missed:
-            return
-        attempt.missed = True
-        server = attempt.server
-        if attempt.sent_at >= server.event_at:  # a send before the cut belongs to that episode
-            server.settled.add(self._now, self._span)
-            server.missed.add(self._now, self._span)
-            self._review(server)
+    def _settle(self, attempt: Attempt, missed: bool) -> None:
+        if not attempt.missed:
+            attempt.missed = missed
+            for brake, span in (attempt.server.brake, self._span), (self._fleet, self._fleet_span):
+                brake.settle(self._now, self._window, span, attempt.sent_at, missed)
 
     def _overdue(self, number: int, attempt: Attempt) -> None:
         """An answer is overdue: its server is passed over, the request moves on where it may."""
         attempt.server.overdue += 1
-        self._miss(attempt)
+        self._settle(attempt, True)
         job = self._jobs.get(number)
         if job is None or len(job.out) != 1 or job.moving or job.cls.effect is Effect.UNSAFE:
             return
@@ -460,13 +481,12 @@
                 self._recent[job.index] += RECENT_WEIGHT * (event.elapsed_ms - self._recent[job.index])
                 off = event.elapsed_ms - self._usual[job.index]
                 self._usual[job.index] += (USUAL_UP if off > 0 else USUAL_DOWN) * off
-            if not attempt.missed:
-                server.settled.add(now, self._span)
+            self._settle(attempt, False)
             server.fails //= 2
         elif event.result is Result.NOT_SENT or (event.result is Result.CANCELLED and not attempt.missed):
             return  # says nothing of the server
         else:
-            self._miss(attempt)
+            self._settle(attempt, True)
             # Called off because overdue: slow, perhaps crowded. Only what truly failed is left alone longer.
             failed = event.result is not Result.CANCELLED
             wait = self._window * OVERDUE_TIMES * 2 ** (min(server.fails, BENCH_DOUBLINGS) if failed else 0)
@@ -500,9 +520,7 @@
             self._log(f"started with a list of {len(self._ring)} servers")
 
     def _newcomer(self, endpoint: Endpoint) -> Server:
-        now = self._now
-        meters = Meter(now, now), Meter(now, now), Meter(now, now)
-        return Server(endpoint, *meters, credit=self._rng.random(), window_at=now)
+        return Server(endpoint, Brake.new(self._now, self._rng.random()))
 
     def _log(self, text: str) -> None:
         self._actions.append(Log(text))
--- a/tests/test_simwire.py
+++ b/tests/test_simwire.py
@@ -341,7 +341,8 @@
 
 def test_instances_act_alike_alone_and_together() -> None:
     def play(instances: list[int]) -> dict[int, list[tuple[int, bytes]]]:
-        host, seen = Host(), {i: [] for i in instances}  # type: dict[int, list[tuple[int, bytes]]]
+        host = Host()
+        seen: dict[int, list[tuple[int, bytes]]] = {i: [] for i in instances}
         lists = f.define_list(0, *(f.entry(a) for a in (f.A, f.B, f.C)))
         rng = random.Random(5)
         picks = [(rng.randrange(3), n) for n in range(60)]
