Sends before the first event leave no debt of quota

Cause: every send took from the quota, also while no limit bound, so the first event found a deep debt and the server was shut for long (a log showed -246).

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -388,7 +388,7 @@
         job.tried.append(server)
         server.owed += 1
         for brake, span in (server.brake, self._span), (self._fleet, self._fleet_span):
-            brake.credit -= 1.0
+            brake.credit = max(brake.credit - 1.0, 0.0)  # no debt from the time when nothing bound
             brake.sends.add(self._now, span)
         self._actions.append(Send(job.id, server.endpoint.address))
         self._at(self._now + self._patience(job), "overdue", key)
