--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -22,7 +22,8 @@
 LAST_CALL_TIMES = 2.0  # recent answer times that a request must have left to be worth sending ...
 LAST_CALL_AIM = 0.6  # ... but not more than this share of its aim
 RECENT_WEIGHT = 0.05  # of one answer in the recent answer time: some twenty answers
-FLEET_CHANCE = 0.5  # share of misses that all servers together may have before all sends are cut
+FLEET_MISSES = 6.0  # the same two for all servers together
+FLEET_CHANCE = 0.4  # share of misses that all servers together may have before all sends are cut
 FLEET_SENDS = 20  # sends in one comparison span of all servers together
 SPAN_MAX_MS = 5000.0  # a span longer than this compares yesterday's weather
 CHANCE_MISSES = 1.5  # misses in a span that chance alone may bring ...
@@ -71,7 +72,8 @@
     sends: Meter
     settled: Meter  # sends that were answered in time or missed, since the last event
     missed: Meter  # of these: failed, or overdue
-    chance: float  # share of the sends that may be missed by chance
+    few: float  # misses that chance alone may bring ...
+    chance: float  # ... and the share of the sends; above both, sends outrun answers
     credit: float  # sends left of the quota
     window_at: float  # the window under way began
     limit: float = math.inf  # sends a millisecond; infinite: no event yet, nothing binds
@@ -80,8 +82,8 @@
     rose_at: float = -math.inf
 
     @classmethod
-    def new(cls, now: float, chance: float, credit: float) -> "Brake":
-        return cls(Meter(now, now), Meter(now, now), Meter(now, now), chance, credit, now)
+    def new(cls, now: float, few: float, chance: float, credit: float) -> "Brake":
+        return cls(Meter(now, now), Meter(now, now), Meter(now, now), few, chance, credit, now)
 
     def settle(self, now: float, window: float, span: float, sent_at: float, missed: bool) -> None:
         """Count one send as answered in time or missed."""
@@ -94,7 +96,7 @@
 
     def review(self, now: float, window: float, span: float) -> None:
         """Compare sends with answers: cut the limit, let it rise, or leave it."""
-        chance = max(CHANCE_MISSES, self.chance * self.settled.faded(now, span))
+        chance = max(self.few, self.chance * self.settled.faded(now, span))
         if self.missed.faded(now, span) > chance:
             if now - self.rose_at > HYSTERESIS_WINDOWS * window:
                 self.saturated = max(min(self.sends.rate(now, span), self.limit), 1 / (FLOOR_SPANS * span))
@@ -181,7 +183,9 @@
         self._usual = [cls.aim_ms * FIRST_USUAL_AIM for cls in settings.classes]
         self._recent = list(self._usual)
         self._arrivals = Meter(now, now)
-        self._fleet = Brake.new(now, FLEET_CHANCE, 1.0)  # the same limit on the sum of all sends
+        self._fleet = Brake.new(
+            now, FLEET_MISSES, FLEET_CHANCE, 1.0
+        )  # the same limit on the sum of all sends
         self._window = self._even = self._span = self._fleet_span = self._owe_most = (
             1.0  # measured at each event
         )
@@ -522,7 +526,7 @@
             self._log(f"started with a list of {len(self._ring)} servers")
 
     def _newcomer(self, endpoint: Endpoint) -> Server:
-        return Server(endpoint, Brake.new(self._now, CHANCE_SHARE, self._rng.random()))
+        return Server(endpoint, Brake.new(self._now, CHANCE_MISSES, CHANCE_SHARE, self._rng.random()))
 
     def _log(self, text: str) -> None:
         self._actions.append(Log(text))
