--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -22,9 +22,6 @@
 LAST_CALL_TIMES = 2.0  # recent answer times that a request must have left to be worth sending ...
 LAST_CALL_AIM = 0.6  # ... but not more than this share of its aim
 RECENT_WEIGHT = 0.05  # of one answer in the recent answer time: some twenty answers
-FLEET_MISSES = 6.0  # the same two for all servers together
-FLEET_CHANCE = 0.4  # share of misses that all servers together may have before all sends are cut
-FLEET_SENDS = 20  # sends in one comparison span of all servers together
 SPAN_MAX_MS = 5000.0  # a span longer than this compares yesterday's weather
 CHANCE_MISSES = 1.5  # misses in a span that chance alone may bring ...
 CHANCE_SHARE = 0.25  # ... and the share of its sends; above both, sends outrun answers
@@ -72,8 +69,6 @@
     sends: Meter
     settled: Meter  # sends that were answered in time or missed, since the last event
     missed: Meter  # of these: failed, or overdue
-    few: float  # misses that chance alone may bring ...
-    chance: float  # ... and the share of the sends; above both, sends outrun answers
     credit: float  # sends left of the quota
     window_at: float  # the window under way began
     limit: float = math.inf  # sends a millisecond; infinite: no event yet, nothing binds
@@ -82,8 +77,8 @@
     rose_at: float = -math.inf
 
     @classmethod
-    def new(cls, now: float, few: float, chance: float, credit: float) -> "Brake":
-        return cls(Meter(now, now), Meter(now, now), Meter(now, now), few, chance, credit, now)
+    def new(cls, now: float, credit: float) -> "Brake":
+        return cls(Meter(now, now), Meter(now, now), Meter(now, now), credit, now)
 
     def settle(self, now: float, window: float, span: float, sent_at: float, missed: bool) -> None:
         """Count one send as answered in time or missed."""
@@ -96,7 +91,7 @@
 
     def review(self, now: float, window: float, span: float) -> None:
         """Compare sends with answers: cut the limit, let it rise, or leave it."""
-        chance = max(self.few, self.chance * self.settled.faded(now, span))
+        chance = max(CHANCE_MISSES, CHANCE_SHARE * self.settled.faded(now, span))
         if self.missed.faded(now, span) > chance:
             if now - self.rose_at > HYSTERESIS_WINDOWS * window:
                 self.saturated = max(min(self.sends.rate(now, span), self.limit), 1 / (FLOOR_SPANS * span))
@@ -183,12 +178,7 @@
         self._usual = [cls.aim_ms * FIRST_USUAL_AIM for cls in settings.classes]
         self._recent = list(self._usual)
         self._arrivals = Meter(now, now)
-        self._fleet = Brake.new(
-            now, FLEET_MISSES, FLEET_CHANCE, 1.0
-        )  # the same limit on the sum of all sends
-        self._window = self._even = self._span = self._fleet_span = self._owe_most = (
-            1.0  # measured at each event
-        )
+        self._window = self._even = self._span = self._owe_most = 1.0
         self._tenants = [Meter(now, now) for _ in settings.tenants]
         self._retries = RETRY_SAVED
         self._ask_wait = ASK_AGAIN_MS[0]
@@ -203,8 +193,8 @@
         self._now = now
         self._measure()
         if now > self._armed + self._window:
-            for brake in [self._fleet, *(server.brake for server in self._servers.values())]:
-                brake.shift(now - self._armed, now)
+            for server in self._servers.values():
+                server.brake.shift(now - self._armed, now)
         match event:
             case Request():
                 self._take(event)
@@ -267,8 +257,6 @@
         # Requests that a ready server would get at even turns.
         self._even = max(self._arrivals.rate(self._now, RATE_MS) / max(len(self._ring), 1), 1e-9)
         self._span = min(max(SPAN_SENDS / self._even, 2 * self._window), SPAN_MAX_MS)
-        all_sends = FLEET_SENDS / (self._even * max(len(self._ring), 1))
-        self._fleet_span = min(max(all_sends, 2 * self._window), SPAN_MAX_MS)
         due = self._even * self._window  # answers that even turns leave a server owing
         self._owe_most = due + CHANCE_OWED * math.sqrt(due)
 
@@ -302,8 +290,6 @@
     def _pick(self, job: Job) -> Server | None:
         """The next server in turn with quota left that this request may go to."""
         again, count = None, len(self._ring)
-        if not self._fleet.has_quota(self._now, self._window, self._fleet_span):
-            return None
         for step in range(count):
             index = (self._turn + step) % count
             server = self._ring[index]
@@ -391,9 +377,8 @@
         job.sends += 1
         job.tried.append(server)
         server.owed += 1
-        for brake, span in (server.brake, self._span), (self._fleet, self._fleet_span):
-            brake.credit = max(brake.credit - 1.0, 0.0)  # no debt from the time when nothing bound
-            brake.sends.add(self._now, span)
+        server.brake.credit = max(server.brake.credit - 1.0, 0.0)  # no debt from when nothing bound
+        server.brake.sends.add(self._now, self._span)
         self._actions.append(Send(job.id, server.endpoint.address))
         self._at(self._now + self._patience(job), "overdue", key)
 
@@ -431,8 +416,7 @@
     def _settle(self, attempt: Attempt, missed: bool) -> None:
         if not attempt.missed:
             attempt.missed = missed
-            for brake, span in (attempt.server.brake, self._span), (self._fleet, self._fleet_span):
-                brake.settle(self._now, self._window, span, attempt.sent_at, missed)
+            attempt.server.brake.settle(self._now, self._window, self._span, attempt.sent_at, missed)
 
     def _overdue(self, number: int, attempt: Attempt) -> None:
         """An answer is overdue: its server is passed over, the request moves on where it may."""
@@ -526,7 +510,7 @@
             self._log(f"started with a list of {len(self._ring)} servers")
 
     def _newcomer(self, endpoint: Endpoint) -> Server:
-        return Server(endpoint, Brake.new(self._now, CHANCE_MISSES, CHANCE_SHARE, self._rng.random()))
+        return Server(endpoint, Brake.new(self._now, self._rng.random()))
 
     def _log(self, text: str) -> None:
         self._actions.append(Log(text))
