--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -17,7 +17,6 @@
 
 BETA = 0.20  # share of the rate that an event takes off (CARD)
 REGAIN_WINDOWS = 20  # windows until a cut limit is back at M; fixes C ("tens of windows")
-REGAIN_SPANS = 3  # and at least so many spans: thin traffic takes that long to tell a cut from a cure
 HYSTERESIS_WINDOWS = 2  # no event sooner than this after the limit last rose (CARD: 10 ms of 5 ms)
 SPAN_SENDS = 4  # sends to a mean server in one comparison span: "a few answers"
 LAST_CALL_TIMES = 2.0  # recent answer times that a request must have left to be worth sending ...
@@ -100,9 +99,7 @@
                 self.event_at = self.rose_at = now
                 self.settled, self.missed = Meter(now, now), Meter(now, now)
         elif self.limit < math.inf:
-            regain = max(
-                REGAIN_WINDOWS * window, REGAIN_SPANS * span
-            )  # K; C follows from it as BETA * M / K ** 3
+            regain = REGAIN_WINDOWS * window  # K; C follows from it as BETA * M / K ** 3
             growth = BETA * self.saturated / regain**3
             self.limit = growth * (now - self.event_at - regain) ** 3 + self.saturated
             self.rose_at = now
