Refuse at once what the held queue could not send in time

Cause: in overload every request waited until its last call, so it went out with the least slack and came late, and the rest waited only to be refused.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -19,6 +19,7 @@
 REGAIN_WINDOWS = 20  # windows until a cut limit is back at M; fixes C ("tens of windows")
 HYSTERESIS_WINDOWS = 2  # no event sooner than this after the limit last rose (CARD: 10 ms of 5 ms)
 SPAN_SENDS = 4  # sends to a mean server in one comparison span: "a few answers"
+HOLD_SHARE = 0.5  # of a request's slack that the held before it may take: better refused early than late
 LAST_CALL_TIMES = 2.0  # recent answer times that a request must have left to be worth sending ...
 LAST_CALL_AIM = 0.6  # ... but not more than this share of its aim
 RECENT_WEIGHT = 0.05  # of one answer in the recent answer time: some twenty answers
@@ -178,6 +179,7 @@
         self._usual = [cls.aim_ms * FIRST_USUAL_AIM for cls in settings.classes]
         self._recent = list(self._usual)
         self._arrivals = Meter(now, now)
+        self._sends = Meter(now, now)
         self._window = self._even = self._span = self._owe_most = 1.0
         self._tenants = [Meter(now, now) for _ in settings.tenants]
         self._retries = RETRY_SAVED
@@ -334,6 +336,10 @@
     def _hold(self, job: Job) -> None:
         job.last_call = self._last_call(job)
         self._held.append(job)
+        slack = job.last_call - self._now
+        if len(self._held) - 1 > HOLD_SHARE * slack * self._sends.rate(self._now, RATE_MS):
+            over = self._over_share()
+            self._give_up(max(self._held, key=lambda held: (over[held.tenant], held.last_call)))
 
     def _over_share(self) -> list[bool]:
         """For each tenant, whether it has had more than its portion of late."""
@@ -377,6 +383,7 @@
         job.sends += 1
         job.tried.append(server)
         server.owed += 1
+        self._sends.add(self._now, RATE_MS)
         server.brake.credit = max(server.brake.credit - 1.0, 0.0)  # no debt from when nothing bound
         server.brake.sends.add(self._now, self._span)
         self._actions.append(Send(job.id, server.endpoint.address))
