--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -27,7 +27,6 @@
 CHANCE_MISSES = 1.5  # misses in a span that chance alone may bring ...
 CHANCE_SHARE = 0.25  # ... and the share of its sends; above both, sends outrun answers
 CHANCE_OWED = 1.5  # standard deviations of chance in the number of attempts out
-FLOOR_SPANS = 1.0  # a limit never falls below one send in this many spans
 OVERDUE_TIMES = 4.0  # an answer is overdue after this many usual answer times ...
 OVERDUE_AIM = 0.5  # ... or this share of its aim: later leaves no time to mend it
 USUAL_DOWN = 0.05  # weight of a quicker answer in the usual answer time ...
@@ -49,11 +48,11 @@
     """A count that fades with a time constant; as a rate, corrected for its youth."""
 
     born: float
-    at: float
+    at: float = -math.inf
     count: float = 0.0
 
-    def add(self, now: float, span: float, amount: float = 1.0) -> None:
-        self.count = self.faded(now, span) + amount
+    def add(self, now: float, span: float) -> None:
+        self.count = self.faded(now, span) + 1.0
         self.at = now
 
     def faded(self, now: float, span: float) -> float:
@@ -67,20 +66,16 @@
 class Brake:
     """CARD's limit on sends: cut when they outrun answers, regrown along a cubic."""
 
+    window_at: float  # the window under way began
+    credit: float  # sends left of the quota
     sends: Meter
     settled: Meter  # sends that were answered in time or missed, since the last event
     missed: Meter  # of these: failed, or overdue
-    credit: float  # sends left of the quota
-    window_at: float  # the window under way began
     limit: float = math.inf  # sends a millisecond; infinite: no event yet, nothing binds
     saturated: float = 0.0  # M
     event_at: float = -math.inf
     rose_at: float = -math.inf
 
-    @classmethod
-    def new(cls, now: float, credit: float) -> "Brake":
-        return cls(Meter(now, now), Meter(now, now), Meter(now, now), credit, now)
-
     def settle(self, now: float, window: float, span: float, sent_at: float, missed: bool) -> None:
         """Count one send as answered in time or missed."""
         if missed and sent_at < self.event_at:
@@ -95,10 +90,12 @@
         chance = max(CHANCE_MISSES, CHANCE_SHARE * self.settled.faded(now, span))
         if self.missed.faded(now, span) > chance:
             if now - self.rose_at > HYSTERESIS_WINDOWS * window:
-                self.saturated = max(min(self.sends.rate(now, span), self.limit), 1 / (FLOOR_SPANS * span))
+                self.saturated = max(
+                    min(self.sends.rate(now, span), self.limit), 1 / span
+                )  # floor: one send a span
                 self.limit = (1 - BETA) * self.saturated
                 self.event_at = self.rose_at = now
-                self.settled, self.missed = Meter(now, now), Meter(now, now)
+                self.settled, self.missed = Meter(now), Meter(now)
         elif self.limit < math.inf:
             regain = REGAIN_WINDOWS * window  # K; C follows from it as BETA * M / K ** 3
             growth = BETA * self.saturated / regain**3
@@ -116,12 +113,6 @@
             self.window_at = now
         return self.credit >= 1.0
 
-    def shift(self, stall: float, now: float) -> None:
-        """Our own stall: the curve stood still with us, and no quota piled up."""
-        self.event_at += stall
-        self.rose_at += stall
-        self.window_at = now
-
 
 @dataclass(slots=True, eq=False)
 class Server:
@@ -178,14 +169,14 @@
         self._armed, self._timer = math.inf, 0
         self._usual = [cls.aim_ms * FIRST_USUAL_AIM for cls in settings.classes]
         self._recent = list(self._usual)
-        self._arrivals = Meter(now, now)
-        self._sends = Meter(now, now)
+        self._arrivals = Meter(now)
+        self._sends = Meter(now)
         self._window = self._even = self._span = self._owe_most = 1.0
-        self._tenants = [Meter(now, now) for _ in settings.tenants]
+        self._tenants = [Meter(now) for _ in settings.tenants]
         self._retries = RETRY_SAVED
         self._ask_wait = ASK_AGAIN_MS[0]
         self._asking = False
-        self._told_holding = self._wake = -math.inf
+        self._wake = -math.inf
         if settings.must_ask:
             self._at(now + rng.random() * ASK_FIRST_MS, "ask")
 
@@ -194,9 +185,10 @@
         self._actions = []
         self._now = now
         self._measure()
-        if now > self._armed + self._window:
-            for server in self._servers.values():
-                server.brake.shift(now - self._armed, now)
+        if now > self._armed + self._window:  # our own stall: curves stood still with us, no quota piled up
+            for brake in (server.brake for server in self._servers.values()):
+                brake.event_at += now - self._armed
+                brake.rose_at, brake.window_at = brake.rose_at + now - self._armed, now
         match event:
             case Request():
                 self._take(event)
@@ -271,14 +263,6 @@
 
     # Turns
 
-    def _has_quota(self, server: Server) -> bool:
-        most = math.inf
-        cold = self._set.warm_after_ms - (self._now - server.endpoint.started_at)
-        if server.endpoint.started_at and cold > 0:  # rule 4: our even share, of what it surely can do
-            sure = 1 - (1 - self._set.cold_from) * min(cold / self._set.warm_after_ms, 1.0)
-            most = COLD_CAUTION * sure * self._even
-        return server.brake.has_quota(self._now, self._window, self._span, most)
-
     def _open(self, server: Server) -> bool:
         """Whether a turn may go to this server now."""
         if server.overdue or self._now < server.benched_until:
@@ -287,7 +271,12 @@
             return False  # one trial at a time
         if server.owed and server.owed + 1 > self._owe_most:
             return False  # sends run ahead of answers: what is owed counts against the quota
-        return self._has_quota(server)
+        most, started = math.inf, server.endpoint.started_at
+        cold = self._set.warm_after_ms - (self._now - started)
+        if started and cold > 0:  # rule 4: our even share, of what it surely can do
+            sure = 1 - (1 - self._set.cold_from) * min(cold / self._set.warm_after_ms, 1.0)
+            most = COLD_CAUTION * sure * self._even
+        return server.brake.has_quota(self._now, self._window, self._span, most)
 
     def _pick(self, job: Job) -> Server | None:
         """The next server in turn with quota left that this request may go to."""
@@ -308,14 +297,12 @@
         """Rule 2: what may have run is repeated only where the repeat is harmless."""
         if job.ran is None or job.cls.effect is Effect.SAFE:
             return True
-        if job.cls.effect is Effect.UNSAFE:
-            return False
-        if self._now + self._set.tick_ms >= job.ran.sent_at + job.cls.window_ms:
+        over = self._now + self._set.tick_ms >= job.ran.sent_at + job.cls.window_ms
+        if job.cls.effect is Effect.UNSAFE or over:
             return False
-        first, there = job.ran.server.endpoint, server.endpoint
-        return {Group.ALL: True, Group.ZONE: first.zone == there.zone, Group.CELL: first.cell == there.cell}[
-            job.cls.group
-        ]
+        first, there, group = job.ran.server.endpoint, server.endpoint, job.cls.group
+        same = first.zone == there.zone if group is Group.ZONE else first.cell == there.cell
+        return same or group is Group.ALL
 
     # Requests
 
@@ -352,31 +339,26 @@
         if len(self._held) > 1 and any(self._open(server) for server in self._ring):
             over = self._over_share()
             self._held.sort(key=lambda job: (over[job.tenant], job.last_call))
-        waiting, self._held = self._held, []
+        waiting, self._held, spent = self._held, [], False
         left: list[Job] = []
-        spent = False
         for job in waiting:
             server = None if spent else self._pick(job)
             if server is not None:
                 self._send(job, server)
                 continue
             spent = spent or job.ran is None  # it might have gone anywhere: so nobody else can
+            left.append(job)
             if self._now >= job.last_call:
-                self._give_up(job)
-            else:
-                left.append(job)
+                self._give_up(left.pop())
         self._held = left
-        if left:
-            if self._wake <= self._now:
-                self._wake = self._now + max(self._window / 4, self._set.tick_ms)
-                self._at(self._wake, "window")
-            if self._now > self._told_holding + SPAN_MAX_MS:
+        if left and self._wake <= self._now:
+            if self._now > self._wake + SPAN_MAX_MS:
                 self._log(f"holding: no quota left on any of {len(self._ring)} servers")
-            self._told_holding = self._now
+            self._wake = self._now + max(self._window / 4, self._set.tick_ms)
+            self._at(self._wake, "window")
 
     def _send(self, job: Job, server: Server) -> None:
-        attempt = Attempt(server, self._now)
-        key = (job.id, job.sends)
+        attempt, key = Attempt(server, self._now), (job.id, job.sends)
         if job.sends == 0 and self._tenants:
             self._tenants[job.tenant].add(self._now, TENANT_MS)
         job.out[job.sends] = self._attempts[key] = attempt
@@ -410,8 +392,7 @@
 
     def _close(self, number: int, but: int = -1) -> None:
         """Forget a request that has its answer; call off what is still out for it."""
-        job = self._jobs.pop(number, None)
-        if job is None:
+        if (job := self._jobs.pop(number, None)) is None:
             return
         if not job.out and job in self._held:
             self._held.remove(job)
@@ -430,17 +411,16 @@
         attempt.server.overdue += 1
         self._settle(attempt, True)
         job = self._jobs.get(number)
-        if job is None or len(job.out) != 1 or job.moving or job.cls.effect is Effect.UNSAFE:
+        if job is None or len(job.out) != 1 or job.moving:
             return
         job.ran = job.ran or attempt
-        if not self._may_repeat(job):
+        server = self._pick(job) if self._may_repeat(job) else None
+        if server is None or server in job.tried:
             return
         if self._set.second_copies:
-            server = self._pick(job)
-            if server is not None and server not in job.tried:
-                self._retries -= 1.0
-                self._send(job, server)
-        elif self._set.may_cancel and self._pick(job) is not None:
+            self._retries -= 1.0
+            self._send(job, server)
+        elif self._set.may_cancel:
             job.moving = True
             self._actions.extend(Cancel(number, index) for index in job.out)
 
@@ -449,16 +429,14 @@
         job = self._jobs.get(event.id)
         if attempt is not None:
             self._learn(event, attempt, job)
-        if event.closed:
-            if job is not None:
-                job.out.pop(event.attempt, None)
-                self._close(event.id)
-            return
         if job is None or attempt is None:
             return
         job.out.pop(event.attempt, None)
-        if not event.result.never_ran and job.ran is None:
-            job.ran = attempt
+        if event.closed:
+            self._close(event.id)
+            return
+        if not event.result.never_ran:
+            job.ran = job.ran or attempt
         if job.out:
             return
         job.moving = False
@@ -517,7 +495,8 @@
             self._log(f"started with a list of {len(self._ring)} servers")
 
     def _newcomer(self, endpoint: Endpoint) -> Server:
-        return Server(endpoint, Brake.new(self._now, self._rng.random()))
+        now = self._now
+        return Server(endpoint, Brake(now, self._rng.random(), Meter(now), Meter(now), Meter(now)))
 
     def _log(self, text: str) -> None:
         self._actions.append(Log(text))
