A request overdue twice is not moved again

Cause: with heavy_tail a few requests cost many times the usual work; each move blocked one more server.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -145,7 +145,6 @@
     out: dict[int, Attempt] = field(default_factory=dict)
     ran: Attempt | None = None  # the first attempt that may have run
     tried: list[Server] = field(default_factory=list)
-    moving: bool = False  # called off to be sent elsewhere
 
 
 class Balancer:
@@ -396,7 +395,9 @@
         attempt.server.overdue += 1
         self._settle(attempt, True)
         job = self._jobs.get(number)
-        if job is None or len(job.out) != 1 or job.moving:
+        if (
+            job is None or job.sends != 1
+        ):  # overdue twice, it is the work and not the server: moving it costs two
             return
         job.ran = job.ran or attempt
         server = self._pick(job) if self._may_repeat(job) else None
@@ -406,7 +407,6 @@
             self._retries -= 1.0
             self._send(job, server)
         elif self._set.may_cancel:
-            job.moving = True
             self._actions.extend(Cancel(number, index) for index in job.out)
 
     def _outcome(self, event: Outcome) -> None:
@@ -422,7 +422,6 @@
         if event.closed:
             self._close(event.id)
         elif not job.out and self._may_repeat(job):
-            job.moving = False
             self._retries -= 1.0
             self._hold(job)
         elif not job.out:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -313,6 +313,16 @@
     assert second != first
 
 
+def test_a_request_overdue_twice_stays_where_it_is() -> None:
+    # Its work is heavy: moved on and on, it once blocked server after server.
+    desk = Desk(servers=4)
+    desk.warm()
+    number, _ = desk.take()
+    desk.wait(600.0)
+    desk.end(number, Result.CANCELLED)
+    assert Cancel(number, 1) not in desk.wait(1000.0)
+
+
 def test_two_are_out_at_once_only_where_settings_allow_it() -> None:
     desk = Desk(servers=3, second_copies=True)
     desk.warm()
