--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -19,7 +19,7 @@
 REGAIN_WINDOWS = 20  # windows until a cut limit is back at M; fixes C ("tens of windows")
 HYSTERESIS_WINDOWS = 2  # no event sooner than this after the limit last rose (CARD: 10 ms of 5 ms)
 SPAN_SENDS = 4  # sends to a mean server in one comparison span: "a few answers"
-SPAN_MAX_MS = 5000.0  # a span longer than this compares yesterday's weather
+SPAN_MAX_MS = 20000.0  # a span longer than this compares yesterday's weather
 HOLD_SHARE = 0.5  # of a request's slack that the held before it may take: better refused early than late
 LAST_CALL_TIMES = 2.0  # recent answer times that a request must have left to be worth sending ...
 LAST_CALL_AIM = 0.8  # ... but not more than this share of its aim
@@ -244,7 +244,7 @@
         # Windows of one usual answer time: shorter ones would see sends without their answers.
         self._window = max(sum(self._usual) / len(self._usual), 2 * self._set.tick_ms)
         # Requests that a ready server would get at even turns.
-        self._even = max(self._arrivals.rate(self._now, RATE_MS) / max(len(self._ring), 1), 1e-9)
+        self._even = max(self._arrivals.rate(self._now, RATE_MS) / max(len(self._ring), 1), 1 / SPAN_MAX_MS)
         self._span = min(max(SPAN_SENDS / self._even, 2 * self._window), SPAN_MAX_MS)
         due = self._even * self._window  # answers that even turns leave a server owing
         self._owe_most = due + CHANCE_OWED * math.sqrt(due)
@@ -340,7 +340,7 @@
                 self._give_up(left.pop())
         self._held = left
         if left and self._wake <= self._now:
-            if self._now > self._wake + SPAN_MAX_MS:
+            if self._now > self._wake + TENANT_MS:
                 self._actions.append(Log(f"holding: no quota left on any of {len(self._ring)} servers"))
             self._wake = self._now + max(self._window / 4, self._set.tick_ms)
             self._at(self._wake, "window")
@@ -438,6 +438,8 @@
                 off = event.elapsed_ms - self._usual[job.index]
                 self._usual[job.index] += (USUAL_UP if off > 0 else ANSWER_WEIGHT) * off
             self._settle(attempt, False)
+            if attempt.missed:  # late: the next turn goes elsewhere
+                server.benched_until = max(now + 1 / self._even, server.benched_until)
             server.fails //= 2
         elif event.result is Result.NOT_SENT or (event.result is Result.CANCELLED and not attempt.missed):
             return  # says nothing of the server
@@ -445,7 +447,8 @@
             self._settle(attempt, True)
             # Called off because overdue: slow, perhaps crowded. Only what truly failed is left alone longer.
             failed = event.result is not Result.CANCELLED
-            wait = self._window * OVERDUE_TIMES * 2 ** (min(server.fails, BENCH_DOUBLINGS) if failed else 0)
+            wait = max(self._window * OVERDUE_TIMES, 1 / self._even)  # thin traffic: at least the next turn
+            wait *= 2 ** (min(server.fails, BENCH_DOUBLINGS) if failed else 0)
             server.benched_until = max(now + wait, server.benched_until)
             server.fails += failed
             if failed and server.fails == BENCH_DOUBLINGS:
