--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -121,8 +121,7 @@
     owed: int = 0  # attempts out
     overdue: int = 0  # of these, overdue
     fails: int = 0  # failures, halved by each answer
-    benched_until: float = -math.inf  # it failed: no turns
-    wary_until: float = -math.inf  # it was late: turns only where no other server has quota
+    benched_until: float = -math.inf
 
 
 @dataclass(slots=True, eq=False)
@@ -271,19 +270,16 @@
 
     def _pick(self, job: Job) -> Server | None:
         """The next server in turn with quota left that this request may go to."""
-        second, count = None, len(self._ring)
+        again, count = None, len(self._ring)
         for step in range(count):
             index = (self._turn + step) % count
             server = self._ring[index]
             if self._may_go(job, server) and self._open(server):
-                if server not in job.tried and self._now >= server.wary_until:
+                if server not in job.tried:
                     self._turn = index + 1
                     return server
-                second = index if second is None else second
-        if second is None:
-            return None
-        self._turn = second + 1
-        return self._ring[second]
+                again = again or server
+        return again
 
     def _may_go(self, job: Job, server: Server) -> bool:
         """Rule 2: what may have run is repeated only where the repeat is harmless."""
@@ -443,20 +439,17 @@
                 self._usual[job.index] += (USUAL_UP if off > 0 else ANSWER_WEIGHT) * off
             self._settle(attempt, False)
             if attempt.missed:  # late: the next turn goes elsewhere
-                server.wary_until = now + 1 / self._even
+                server.benched_until = max(now + 1 / self._even, server.benched_until)
             server.fails //= 2
         elif event.result is Result.NOT_SENT or (event.result is Result.CANCELLED and not attempt.missed):
             return  # says nothing of the server
         else:
             self._settle(attempt, True)
-            # Called off because overdue: slow, perhaps crowded. Only what truly failed gets no turns.
-            failed, wait = (
-                event.result is not Result.CANCELLED,
-                max(self._window * OVERDUE_TIMES, 1 / self._even),
-            )
-            server.wary_until = max(now + wait, server.wary_until)
-            if failed:
-                server.benched_until = now + wait * 2 ** min(server.fails, BENCH_DOUBLINGS)
+            # Called off because overdue: slow, perhaps crowded. Only what truly failed is left alone longer.
+            failed = event.result is not Result.CANCELLED
+            wait = max(self._window * OVERDUE_TIMES, 1 / self._even)  # thin traffic: at least the next turn
+            wait *= 2 ** (min(server.fails, BENCH_DOUBLINGS) if failed else 0)
+            server.benched_until = max(now + wait, server.benched_until)
             server.fails += failed
             if failed and server.fails == BENCH_DOUBLINGS:
                 self._actions.append(Log(f"left {server.endpoint.address.hex()} alone: {event.result.value}"))
