--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -95,7 +95,7 @@
                 self.event_at = self.rose_at = now
                 self.settled, self.missed = Meter(now), Meter(now)
         elif self.limit < math.inf:
-            regain = max(REGAIN_WINDOWS * window, 2 * span)  # K; C follows from it as BETA * M / K ** 3
+            regain = REGAIN_WINDOWS * window  # K; C follows from it as BETA * M / K ** 3
             growth = BETA * self.saturated / regain**3
             self.limit = growth * (now - self.event_at - regain) ** 3 + self.saturated
             self.rose_at = now
