A late server rests for at most four windows, then is second choice

Why: on very thin traffic a whole turn of rest shut every server for many seconds after a shared slowness.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -121,7 +121,8 @@
     owed: int = 0  # attempts out
     overdue: int = 0  # of these, overdue
     fails: int = 0  # failures, halved by each answer
-    benched_until: float = -math.inf
+    benched_until: float = -math.inf  # no turns
+    wary_until: float = -math.inf  # turns only where no other server has quota
 
 
 @dataclass(slots=True, eq=False)
@@ -270,16 +271,17 @@
 
     def _pick(self, job: Job) -> Server | None:
         """The next server in turn with quota left that this request may go to."""
-        again, count = None, len(self._ring)
+        second, count = -1, len(self._ring)
         for step in range(count):
             index = (self._turn + step) % count
             server = self._ring[index]
             if self._may_go(job, server) and self._open(server):
-                if server not in job.tried:
+                if server not in job.tried and self._now >= server.wary_until:
                     self._turn = index + 1
                     return server
-                again = again or server
-        return again
+                second = index if second < 0 else second
+        self._turn = second + 1 if second >= 0 else self._turn
+        return self._ring[second] if second >= 0 else None
 
     def _may_go(self, job: Job, server: Server) -> bool:
         """Rule 2: what may have run is repeated only where the repeat is harmless."""
@@ -430,26 +432,24 @@
     def _learn(self, event: Outcome, attempt: Attempt, job: Job | None) -> None:
         server, now = attempt.server, self._now
         server.owed -= 1
-        if attempt.missed:
+        rest = self._window * OVERDUE_TIMES
+        if attempt.missed:  # late: no turns for a while, and on thin traffic not the next one if another can
             server.overdue -= 1
+            server.wary_until = now + 1 / self._even
+            server.benched_until = max(min(now + rest, server.wary_until), server.benched_until)
         if event.result is Result.OK:
             if job is not None:
                 self._recent[job.index] += ANSWER_WEIGHT * (event.elapsed_ms - self._recent[job.index])
                 off = event.elapsed_ms - self._usual[job.index]
                 self._usual[job.index] += (USUAL_UP if off > 0 else ANSWER_WEIGHT) * off
             self._settle(attempt, False)
-            if attempt.missed:  # late: the next turn goes elsewhere
-                server.benched_until = max(now + 1 / self._even, server.benched_until)
             server.fails //= 2
         elif event.result is Result.NOT_SENT or (event.result is Result.CANCELLED and not attempt.missed):
             return  # says nothing of the server
         else:
             self._settle(attempt, True)
-            # Called off because overdue: slow, perhaps crowded. Only what truly failed is left alone longer.
-            failed = event.result is not Result.CANCELLED
-            wait = max(self._window * OVERDUE_TIMES, 1 / self._even)  # thin traffic: at least the next turn
-            wait *= 2 ** (min(server.fails, BENCH_DOUBLINGS) if failed else 0)
-            server.benched_until = max(now + wait, server.benched_until)
+            failed = event.result is not Result.CANCELLED  # called off because overdue: slow, not broken
+            server.benched_until = now + rest * 2 ** min(server.fails, BENCH_DOUBLINGS) * failed
             server.fails += failed
             if failed and server.fails == BENCH_DOUBLINGS:
                 self._actions.append(Log(f"left {server.endpoint.address.hex()} alone: {event.result.value}"))
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -462,6 +462,39 @@
     assert server.benched_until <= desk.now + module.OVERDUE_TIMES * desk.balancer._window
 
 
+def test_on_thin_traffic_a_late_answer_costs_the_next_turn() -> None:
+    # One request in seconds to each server: slow ones once kept their turns, and their queues full.
+    desk = Desk(servers=4)
+    desk.warm(20, gap=500.0)
+    number, actions = desk.take(TAKE, left=4000.0)
+    [slow] = sends(actions)
+    desk.wait(900.0)
+    desk.end(number, elapsed=900.0)
+    order = []
+    for _ in range(4):
+        other, actions = desk.take()
+        order += sends(actions)
+        desk.wait(400.0)
+        desk.end(other)
+    assert len(order) == 4 and slow not in order
+
+
+def test_on_thin_traffic_two_misses_in_a_span_still_meet() -> None:
+    # A span of five seconds never held two misses of a server that is sent one request in five.
+    desk = Desk(servers=4)
+    desk.warm(30, gap=1000.0)
+    [slow] = sends(desk.take(TAKE, left=4000.0)[1])
+    for _ in range(24):
+        for key in list(desk.out):
+            if desk.out[key] != slow:
+                desk.end(key[0], attempt=key[1])
+        desk.wait(900.0)
+        for key in list(desk.out):
+            desk.end(key[0], attempt=key[1], elapsed=900.0 if desk.out[key] == slow else 50.0)
+        desk.take(TAKE, left=4000.0)
+    assert desk.balancer._servers[slow].brake.limit < math.inf
+
+
 def test_waiting_in_a_crowd_does_not_become_the_usual_answer_time() -> None:
     desk = Desk(servers=3)
     desk.warm(60, gap=40.0)
