--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -449,7 +449,8 @@
         else:
             self._settle(attempt, True)
             failed = event.result is not Result.CANCELLED  # called off because overdue: slow, not broken
-            server.benched_until = now + rest * 2 ** min(server.fails, BENCH_DOUBLINGS) * failed
+            if failed:
+                server.benched_until = now + rest * 2 ** min(server.fails, BENCH_DOUBLINGS)
             server.fails += failed
             if failed and server.fails == BENCH_DOUBLINGS:
                 self._actions.append(Log(f"left {server.endpoint.address.hex()} alone: {event.result.value}"))
