--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -431,29 +431,28 @@
 
     def _learn(self, event: Outcome, attempt: Attempt, job: Job | None) -> None:
         server, now = attempt.server, self._now
+        failed = event.result not in (Result.OK, Result.CANCELLED, Result.NOT_SENT)
         server.owed -= 1
-        rest = self._window * OVERDUE_TIMES
-        if attempt.missed:  # late: no turns for a while, and on thin traffic not the next one if another can
-            server.overdue -= 1
-            server.wary_until = now + 1 / self._even
-            server.benched_until = max(min(now + rest, server.wary_until), server.benched_until)
-        if event.result is Result.OK:
+        server.overdue -= attempt.missed
+        if (
+            attempt.missed or failed
+        ):  # on thin traffic the next turn comes late: leave that out too, if another can
+            often = 2 ** min(server.fails, BENCH_DOUBLINGS) if failed else 1
+            server.wary_until = max(now + often / self._even, server.wary_until)
+            rest = now + self._window * OVERDUE_TIMES * often
+            server.benched_until = max(min(rest, server.wary_until), server.benched_until)
+        if failed:
+            self._settle(attempt, True)
+            server.fails += 1
+            if server.fails == BENCH_DOUBLINGS:
+                self._actions.append(Log(f"left {server.endpoint.address.hex()} alone: {event.result.value}"))
+        elif event.result is Result.OK:
+            self._settle(attempt, False)
+            server.fails //= 2
             if job is not None:
                 self._recent[job.index] += ANSWER_WEIGHT * (event.elapsed_ms - self._recent[job.index])
                 off = event.elapsed_ms - self._usual[job.index]
                 self._usual[job.index] += (USUAL_UP if off > 0 else ANSWER_WEIGHT) * off
-            self._settle(attempt, False)
-            server.fails //= 2
-        elif event.result is Result.NOT_SENT or (event.result is Result.CANCELLED and not attempt.missed):
-            return  # says nothing of the server
-        else:
-            self._settle(attempt, True)
-            failed = event.result is not Result.CANCELLED  # called off because overdue: slow, not broken
-            if failed:
-                server.benched_until = now + rest * 2 ** min(server.fails, BENCH_DOUBLINGS)
-            server.fails += failed
-            if failed and server.fails == BENCH_DOUBLINGS:
-                self._actions.append(Log(f"left {server.endpoint.address.hex()} alone: {event.result.value}"))
 
     # Discovery
 
