--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -208,8 +208,6 @@
         self._arm()
         return self._actions
 
-    # Time
-
     def _at(self, when: float, what: str, about: object = None) -> None:
         self._sequence += 1
         heapq.heappush(self._due, (when, self._sequence, what, about))
@@ -385,8 +383,6 @@
         if self._set.may_cancel:
             self._actions.extend(Cancel(number, index) for index in job.out if index != but)
 
-    # Attempts
-
     def _settle(self, attempt: Attempt, missed: bool) -> None:
         if not attempt.missed:
             attempt.missed = missed
