--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -168,7 +168,7 @@
         self._usual = [cls.aim_ms * FIRST_USUAL_AIM for cls in settings.classes]
         self._recent = list(self._usual)
         self._arrivals = Meter(now)
-        self._sends = Meter(now)
+        self._sends, self._served = Meter(now), Meter(now)  # attempts, and answers in time
         self._window = self._even = self._span = self._owe_most = 1.0
         self._tenants = [Meter(now) for _ in settings.tenants]
         self._retries = RETRY_SAVED
@@ -245,7 +245,8 @@
         # Requests that a ready server would get at even turns.
         self._even = max(self._arrivals.rate(self._now, RATE_MS) / max(len(self._ring), 1), 1 / SPAN_MAX_MS)
         self._span = min(max(SPAN_SENDS / self._even, 2 * self._window), SPAN_MAX_MS)
-        due = self._even * self._window  # answers that even turns leave a server owing
+        # What a server may owe follows the answers in time, not the requests: a burst is no more capacity.
+        due = self._served.rate(self._now, RATE_MS) / max(len(self._ring), 1) * self._window
         self._owe_most = due + CHANCE_OWED * math.sqrt(due)
 
     def _last_call(self, job: Job) -> float:
@@ -386,6 +387,8 @@
     def _settle(self, attempt: Attempt, missed: bool) -> None:
         if not attempt.missed:
             attempt.missed = missed
+            if not missed:
+                self._served.add(self._now, RATE_MS)
             attempt.server.brake.settle(self._now, self._window, self._span, attempt.sent_at, missed)
 
     def _overdue(self, number: int, attempt: Attempt) -> None:
