--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -179,8 +179,7 @@
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take one event at its time and return what to do."""
-        self._actions = []
-        self._now = now
+        self._actions, self._now = [], now
         self._measure()
         if now > self._armed + self._window:  # our own stall: curves stood still with us, no quota piled up
             for brake in (server.brake for server in self._servers.values()):
@@ -239,14 +238,13 @@
     # The traffic this instance sees
 
     def _measure(self) -> None:
-        """What the traffic says now: the window, the even share and the span follow from it."""
-        # Windows of one usual answer time: shorter ones would see sends without their answers.
+        """Window, even share and span from our traffic; a shorter window would see sends without answers."""
         self._window = max(sum(self._usual) / len(self._usual), 2 * self._set.tick_ms)
-        # Requests that a ready server would get at even turns.
-        self._even = max(self._arrivals.rate(self._now, RATE_MS) / max(len(self._ring), 1), 1 / SPAN_MAX_MS)
+        ready = max(len(self._ring), 1)
+        self._even = max(self._arrivals.rate(self._now, RATE_MS) / ready, 1 / SPAN_MAX_MS)
         self._span = min(max(SPAN_SENDS / self._even, 2 * self._window), SPAN_MAX_MS)
         # What a server may owe follows the answers in time, not the requests: a burst is no more capacity.
-        due = self._served.rate(self._now, RATE_MS) / max(len(self._ring), 1) * self._window
+        due = self._served.rate(self._now, RATE_MS) / ready * self._window
         self._owe_most = due + CHANCE_OWED * math.sqrt(due)
 
     def _last_call(self, job: Job) -> float:
@@ -296,12 +294,11 @@
     # Requests
 
     def _take(self, request: Request) -> None:
-        now, cls = self._now, self._set.classes[request.cls]
-        deadline = now + request.time_left_ms
-        aim = deadline if cls.late_worth else min(now + cls.aim_ms, deadline)
-        job = Job(request.id, request.cls, cls, request.tenant if self._tenants else 0, aim)
-        self._jobs[job.id] = job
-        self._arrivals.add(now, RATE_MS)
+        cls, deadline = self._set.classes[request.cls], self._now + request.time_left_ms
+        aim = deadline if cls.late_worth else min(self._now + cls.aim_ms, deadline)
+        tenant = request.tenant if self._tenants else 0
+        job = self._jobs[request.id] = Job(request.id, request.cls, cls, tenant, aim)
+        self._arrivals.add(self._now, RATE_MS)
         self._retries = min(self._retries + RETRY_SHARE, RETRY_SAVED)
         if request.time_left_ms <= self._set.tick_ms:
             self._give_up(job)
