--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -38,8 +38,7 @@
 RATE_MS = 2000.0  # time constant of the rate of requests
 TENANT_MS = 5000.0  # time constant of what a tenant has had
 ASK_FIRST_MS = 200.0  # discovery is asked within this after a start: no herd
-ASK_AGAIN_MS = (500.0, 8000.0)  # first and longest wait after a failed call, jittered
-ASK_LOST_MS = 10000.0  # a call without any answer for this long is made again
+ASK_AGAIN_MS = (500.0, 8000.0)  # first and longest wait for another call; jittered after a failure
 
 
 @dataclass(slots=True)
@@ -230,10 +229,10 @@
                 if when < self._now - self._window:  # we were late ourselves: answers may be waiting too
                     self._at(self._now + 2 * self._set.tick_ms, what, about)
                 else:
-                    self._overdue(about[0], attempt)
+                    self._overdue(about, attempt)
             elif what == "ask" and when == self._ask_at:
                 self._actions.append(Watch())
-                self._ask_in(ASK_LOST_MS)
+                self._ask_in(ASK_AGAIN_MS[1])
 
     # The traffic this instance sees
 
@@ -388,14 +387,16 @@
                 self._served.add(self._now, RATE_MS)
             attempt.server.brake.settle(self._now, self._window, self._span, attempt.sent_at, missed)
 
-    def _overdue(self, number: int, attempt: Attempt) -> None:
-        """An answer is overdue: its server is passed over, the request moves on where it may."""
-        attempt.server.overdue += 1
-        self._settle(attempt, True)
-        job = self._jobs.get(number)
-        if (
-            job is None or job.sends != 1
-        ):  # overdue twice, it is the work and not the server: moving it costs two
+    def _overdue(self, key: tuple[int, int], attempt: Attempt) -> None:
+        """An answer is overdue: its server is passed over; the request moves on at its last call."""
+        job, first = self._jobs.get(key[0]), not attempt.missed
+        if first:
+            attempt.server.overdue += 1
+            self._settle(attempt, True)
+        if job is None or job.sends != 1:
+            return  # overdue twice, it is the work and not the server: moving it costs two
+        if first:  # its own answer may still come, and is cheaper
+            self._at(self._last_call(job) - 2 * self._set.tick_ms, "overdue", key)
             return
         job.ran = job.ran or attempt
         server = self._pick(job) if self._may_repeat(job) else None
@@ -405,7 +406,7 @@
             self._retries -= 1.0
             self._send(job, server)
         elif self._set.may_cancel:
-            self._actions.extend(Cancel(number, index) for index in job.out)
+            self._actions.extend(Cancel(key[0], index) for index in job.out)
 
     def _outcome(self, event: Outcome) -> None:
         attempt = self._attempts.pop((event.id, event.attempt), None)
