--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -31,6 +31,7 @@
 ANSWER_WEIGHT = 0.05  # of one answer in the recent answer time, of a quicker one in the usual ...
 USUAL_UP = 0.01  # ... and of a slower one in the usual: a crowd must not make waiting look usual
 FIRST_USUAL_AIM = 0.2  # usual answer time before any answer, as a share of the aim
+HINT_AIM = 0.25  # of the aim: a refused client comes back while an answer is still worth something
 BENCH_DOUBLINGS = 4  # a failing server is left alone for 1, 2, 4 ... overdue times, doubled so often
 RETRY_SHARE = 0.2  # further attempts allowed, as a share of requests taken
 RETRY_SAVED = 10.0  # further attempts that a quiet time may save up
@@ -267,9 +268,8 @@
 
     def _pick(self, job: Job) -> Server | None:
         """The next server in turn with quota left that this request may go to."""
-        second, count = -1, len(self._ring)
-        for step in range(count):
-            index = (self._turn + step) % count
+        turn, second = self._turn % max(len(self._ring), 1), -1
+        for index in (*range(turn, len(self._ring)), *range(turn)):
             server = self._ring[index]
             if self._may_go(job, server) and self._open(server):
                 if server not in job.tried and self._now >= server.wary_until:
@@ -367,7 +367,7 @@
         safe = job.cls.effect is Effect.SAFE
         dropped = job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL
         harmless = safe or dropped or (job.ran is None and not job.out)
-        hint = self._set.max_retry_after_ms if self._set.retry_after else 0.0
+        hint = min(self._set.max_retry_after_ms, HINT_AIM * job.cls.aim_ms) if self._set.retry_after else 0.0
         self._actions.append(Refuse(job.id, hint) if harmless else Fail(job.id))
         self._close(job.id)
 
