--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -25,6 +25,7 @@
 LAST_CALL_AIM = 0.8  # ... but not more than this share of its aim
 CHANCE_MISSES = 1.5  # misses in a span that chance alone may bring ...
 CHANCE_SHARE = 0.25  # ... and the share of its sends; above both, sends outrun answers
+OWED_TIMES = 3.0  # times the usual number of attempts out, at all servers together
 CHANCE_OWED = 2.0  # standard deviations of chance in the number of attempts out
 OVERDUE_TIMES = 4.0  # an answer is overdue after this many usual answer times ...
 OVERDUE_AIM = 0.5  # ... or this share of its aim: later leaves no time to mend it
@@ -169,7 +170,7 @@
         self._recent = list(self._usual)
         self._arrivals = Meter(now)
         self._sends, self._served = Meter(now), Meter(now)  # attempts, and answers in time
-        self._window = self._even = self._span = self._owe_most = 1.0
+        self._window = self._even = self._span = self._owe_most = self._owe_all = 1.0
         self._tenants = [Meter(now) for _ in settings.tenants]
         self._retries = RETRY_SAVED
         self._ask_at, self._ask_wait = math.inf, ASK_AGAIN_MS[0]
@@ -244,7 +245,8 @@
         self._even = max(self._arrivals.rate(self._now, RATE_MS) / ready, 1 / SPAN_MAX_MS)
         self._span = min(max(SPAN_SENDS / self._even, 2 * self._window), SPAN_MAX_MS)
         # What a server may owe follows the answers in time, not the requests: a burst is no more capacity.
-        due = self._served.rate(self._now, RATE_MS) / ready * self._window
+        all_due = self._served.rate(self._now, RATE_MS) * self._window
+        self._owe_all, due = OWED_TIMES * (all_due + 1), all_due / ready
         self._owe_most = due + CHANCE_OWED * math.sqrt(due)
 
     def _last_call(self, job: Job) -> float:
@@ -268,8 +270,10 @@
 
     def _pick(self, job: Job) -> Server | None:
         """The next server in turn with quota left that this request may go to."""
-        turn, second = self._turn % max(len(self._ring), 1), -1
-        for index in (*range(turn, len(self._ring)), *range(turn)):
+        if len(self._attempts) >= self._owe_all:
+            return None  # many instances, one owed answer a server from each: together a crowd
+        count, second = len(self._ring), -1
+        for index in (step % count for step in range(self._turn, self._turn + count)):
             server = self._ring[index]
             if self._may_go(job, server) and self._open(server):
                 if server not in job.tried and self._now >= server.wary_until:
