--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -153,9 +153,7 @@
     """Round-robin behind a cubic limit for each server."""
 
     def __init__(self, settings: Settings, rng: Random, now: float) -> None:
-        self._set = settings
-        self._rng = rng
-        self._now = now
+        self._set, self._rng, self._now = settings, rng, now
         self._actions: list[Action] = []
         self._servers: dict[Address, Server] = {}  # all on the list, those that drain too
         self._ring: list[Server] = []  # ready ones, in turn
@@ -270,8 +268,6 @@
 
     def _pick(self, job: Job) -> Server | None:
         """The next server in turn with quota left that this request may go to."""
-        if len(self._attempts) >= self._owe_all:
-            return None  # many instances, one owed answer a server from each: together a crowd
         count, second = len(self._ring), -1
         for index in (step % count for step in range(self._turn, self._turn + count)):
             server = self._ring[index]
@@ -320,8 +316,7 @@
     def _over_share(self) -> list[bool]:
         """For each tenant, whether it has had more than its portion of late."""
         had = [meter.faded(self._now, TENANT_MS) for meter in self._tenants]
-        pairs = zip(had, self._set.tenants, strict=True)
-        return [mine > tenant.portion * sum(had) for mine, tenant in pairs] or [False]
+        return [h > t.portion * sum(had) for h, t in zip(had, self._set.tenants, strict=True)] or [False]
 
     def _send_held(self) -> None:
         """Send what quotas allow: tenants within their share first, then who can wait least."""
@@ -331,6 +326,7 @@
         waiting, self._held, spent = self._held, [], False
         left: list[Job] = []
         for job in waiting:
+            spent = spent or len(self._attempts) >= self._owe_all
             server = None if spent else self._pick(job)
             if server is not None:
                 self._send(job, server)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -339,6 +339,15 @@
     assert desk.balancer._owe_most <= before
 
 
+def test_all_servers_together_owe_only_so_much() -> None:
+    # Many instances each let every server owe one answer: together a crowd, though no server's count told.
+    desk = Desk(servers=40)
+    desk.warm(50, gap=100.0)
+    for _ in range(40):
+        desk.take(TAKE, left=4000.0)
+    assert len(desk.out) < 10
+
+
 def test_a_request_overdue_twice_stays_where_it_is() -> None:
     # Its work is heavy: moved on and on, it once blocked server after server.
     desk = Desk(servers=4)
