--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -59,7 +59,7 @@
         return self.count * math.exp((self.at - now) / span)
 
     def rate(self, now: float, span: float) -> float:
-        return self.faded(now, span) / (span * (1.0 - math.exp(-max(now - self.born, span / 16) / span)))
+        return self.faded(now, span) / (span * (1.0 - math.exp(-max(now - self.born, span / 4) / span)))
 
 
 @dataclass(slots=True, eq=False)
