--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -309,8 +309,7 @@
         job.last_call = self._last_call(job)
         self._held.append(job)
         slack = job.last_call - self._now
-        known = self._now > self._sends.born + RATE_MS  # a young instance does not know its rate
-        if known and len(self._held) - 1 > HOLD_SHARE * slack * self._sends.rate(self._now, RATE_MS):
+        if len(self._held) - 1 > HOLD_SHARE * slack * self._sends.rate(self._now, RATE_MS):
             over = self._over_share()
             self._give_up(max(self._held, key=lambda held: (over[held.tenant], held.last_call)))
 
