--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -399,7 +399,7 @@
             self._at(self._last_call(job) - 2 * self._set.tick_ms, "overdue", key)
             return
         job.ran = job.ran or attempt
-        server = self._pick(job) if self._may_repeat(job) else None
+        server = self._pick(job) if self._may_repeat(job) and len(self._attempts) < self._owe_all else None
         if server is None or server in job.tried:
             return
         if self._set.second_copies:
