--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -25,6 +25,7 @@
 LAST_CALL_AIM = 0.8  # ... but not more than this share of its aim
 CHANCE_MISSES = 1.5  # misses in a span that chance alone may bring ...
 CHANCE_SHARE = 0.25  # ... and the share of its sends; above both, sends outrun answers
+OWED_TIMES = 3.0  # times the usual number of attempts out, at all servers together, or one
 CHANCE_OWED = 2.0  # standard deviations of chance in the number of attempts out
 OVERDUE_TIMES = 4.0  # an answer is overdue after this many usual answer times ...
 OVERDUE_AIM = 0.5  # ... or this share of its aim: later leaves no time to mend it
@@ -243,7 +244,7 @@
         self._span = min(max(SPAN_SENDS / self._even, 2 * self._window), SPAN_MAX_MS)
         # What a server may owe follows the answers in time, not the requests: a burst is no more capacity.
         all_due = self._served.rate(self._now, RATE_MS) * self._window
-        self._owe_all, due = max(all_due + CHANCE_OWED * math.sqrt(all_due), 1.0), all_due / ready
+        self._owe_all, due = max(OWED_TIMES * all_due, 1.0), all_due / ready
         self._owe_most = due + CHANCE_OWED * math.sqrt(due)
 
     def _last_call(self, job: Job) -> float:
