--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -123,7 +123,6 @@
     overdue: int = 0  # of these, overdue
     fails: int = 0  # failures, halved by each answer
     benched_until: float = -math.inf  # no turns
-    due: float = 0.0
     wary_until: float = -math.inf  # turns only where no other server has quota
 
 
@@ -273,12 +272,8 @@
         for index in (step % count for step in range(self._turn, self._turn + count)):
             server = self._ring[index]
             if self._may_go(job, server) and self._open(server):
-                server.due += server.endpoint.weight / self._top
-                if server.due < 1.0:
-                    continue
                 if server not in job.tried and self._now >= server.wary_until:
                     self._turn = index + 1
-                    server.due -= 1
                     return server
                 second = index if second < 0 else second
         self._turn = second + 1 if second >= 0 else self._turn
@@ -471,10 +466,9 @@
             elif known is None or known.endpoint.started_at != endpoint.started_at:
                 meters = Meter(self._now), Meter(self._now), Meter(self._now)
                 brake = Brake(self._now, self._rng.random(), *meters)  # part of a quota: no common burst
-                self._servers[endpoint.address] = Server(endpoint, brake, due=self._rng.random())
+                self._servers[endpoint.address] = Server(endpoint, brake)
             else:
                 known.endpoint = endpoint
         self._ring = [server for server in self._servers.values() if server.endpoint.state is State.READY]
-        self._top = max([s.endpoint.weight for s in self._ring] + [0.01])
         if event.cached:
             self._actions.append(Log(f"started with a list of {len(self._ring)} servers"))
