--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -25,7 +25,8 @@
 LAST_CALL_AIM = 0.8  # ... but not more than this share of its aim
 CHANCE_MISSES = 1.5  # misses in a span that chance alone may bring ...
 CHANCE_SHARE = 0.25  # ... and the share of its sends; above both, sends outrun answers
-OWED_TIMES = 3.0  # times the usual number of attempts out, at all servers together, or one
+OWED_TIMES = 3.0  # times the usual number of attempts out, at all servers together ...
+OWED_SHARED = 2.0  # ... and so many more a server, shared by all instances: thin ones add up
 CHANCE_OWED = 2.0  # standard deviations of chance in the number of attempts out
 OVERDUE_TIMES = 4.0  # an answer is overdue after this many usual answer times ...
 OVERDUE_AIM = 0.5  # ... or this share of its aim: later leaves no time to mend it
@@ -33,6 +34,8 @@
 USUAL_UP = 0.01  # ... and of a slower one in the usual: a crowd must not make waiting look usual
 FIRST_USUAL_AIM = 0.2  # usual answer time before any answer, as a share of the aim
 HINT_AIM = 0.25  # of the aim: a refused client comes back while an answer is still worth something
+MEMORY_SENDS = 0.5  # a late server is second choice for a turn, times this over its sends a window ...
+MEMORY_MAX_MS = 60000.0  # ... up to this, unless a turn takes longer: troubles last tens of seconds
 BENCH_DOUBLINGS = 4  # a failing server is left alone for 1, 2, 4 ... overdue times, doubled so often
 RETRY_SHARE = 0.2  # further attempts allowed, as a share of requests taken
 RETRY_SAVED = 10.0  # further attempts that a quiet time may save up
@@ -120,7 +123,6 @@
     endpoint: Endpoint
     brake: Brake
     owed: int = 0  # attempts out
-    overdue: int = 0  # of these, overdue
     fails: int = 0  # failures, halved by each answer
     benched_until: float = -math.inf  # no turns
     wary_until: float = -math.inf  # turns only where no other server has quota
@@ -168,7 +170,7 @@
         self._recent = list(self._usual)
         self._arrivals = Meter(now)
         self._sends, self._served = Meter(now), Meter(now)  # attempts, and answers in time
-        self._window = self._even = self._span = self._owe_most = self._owe_all = 1.0
+        self._window = self._even = self._span = self._owe_most = self._owe_all = self._memory = 1.0
         self._tenants = [Meter(now) for _ in settings.tenants]
         self._retries = RETRY_SAVED
         self._ask_at, self._ask_wait = math.inf, ASK_AGAIN_MS[0]
@@ -229,7 +231,7 @@
                 if when < self._now - self._window:  # we were late ourselves: answers may be waiting too
                     self._at(self._now + 2 * self._set.tick_ms, what, about)
                 else:
-                    self._overdue(about, attempt)
+                    self._settle(attempt, True)
             elif what == "ask" and when == self._ask_at:
                 self._actions.append(Watch())
                 self._ask_in(ASK_AGAIN_MS[1])
@@ -244,8 +246,11 @@
         self._span = min(max(SPAN_SENDS / self._even, 2 * self._window), SPAN_MAX_MS)
         # What a server may owe follows the answers in time, not the requests: a burst is no more capacity.
         all_due = self._served.rate(self._now, RATE_MS) * self._window
-        self._owe_all, due = max(OWED_TIMES * all_due, 1.0), all_due / ready
+        shared = OWED_SHARED * ready / max(self._set.instances, 1)
+        self._owe_all, due = max(OWED_TIMES * all_due + shared, 1.0), all_due / ready
         self._owe_most = due + CHANCE_OWED * math.sqrt(due)
+        # The thinner the traffic the longer one late answer counts: a limit learns nothing from one.
+        self._memory = max(1 / self._even, min(MEMORY_SENDS / self._even**2 / self._window, MEMORY_MAX_MS))
 
     def _last_call(self, job: Job) -> float:
         """When it is too late to send: an answer would miss the aim."""
@@ -255,8 +260,8 @@
 
     def _open(self, server: Server) -> bool:
         """Whether a turn may go to this server now."""
-        if server.overdue or self._now < server.benched_until:
-            return False  # it owes an overdue answer, or fails: as good as spent
+        if self._now < server.benched_until:
+            return False
         if server.owed and (server.fails or server.owed + 1 > self._owe_most):
             return False  # one trial at a time; and what is owed beyond chance counts against the quota
         most, started = math.inf, server.endpoint.started_at
@@ -387,27 +392,6 @@
                 self._served.add(self._now, RATE_MS)
             attempt.server.brake.settle(self._now, self._window, self._span, attempt.sent_at, missed)
 
-    def _overdue(self, key: tuple[int, int], attempt: Attempt) -> None:
-        """An answer is overdue: its server is passed over; the request moves on at its last call."""
-        job, first = self._jobs.get(key[0]), not attempt.missed
-        if first:
-            attempt.server.overdue += 1
-            self._settle(attempt, True)
-        if job is None or job.sends != 1:
-            return  # overdue twice, it is the work and not the server: moving it costs two
-        if first:  # its own answer may still come, and is cheaper
-            self._at(self._last_call(job) - 2 * self._set.tick_ms, "overdue", key)
-            return
-        job.ran = job.ran or attempt
-        server = self._pick(job) if self._may_repeat(job) and len(self._attempts) < self._owe_all else None
-        if server is None or server in job.tried:
-            return
-        if self._set.second_copies:
-            self._retries -= 1.0
-            self._send(job, server)
-        elif self._set.may_cancel:
-            self._actions.extend(Cancel(key[0], index) for index in job.out)
-
     def _outcome(self, event: Outcome) -> None:
         attempt = self._attempts.pop((event.id, event.attempt), None)
         job = self._jobs.get(event.id)
@@ -430,12 +414,9 @@
         server, now = attempt.server, self._now
         failed = event.result not in (Result.OK, Result.CANCELLED, Result.NOT_SENT)
         server.owed -= 1
-        server.overdue -= attempt.missed
-        if (
-            attempt.missed or failed
-        ):  # on thin traffic the next turn comes late: leave that out too, if another can
+        if attempt.missed or failed:
             often = 2 ** min(server.fails, BENCH_DOUBLINGS) if failed else 1
-            server.wary_until = max(now + often / self._even, server.wary_until)
+            server.wary_until = max(now + often * self._memory, server.wary_until)
             rest = now + self._window * OVERDUE_TIMES * often
             server.benched_until = max(min(rest, server.wary_until), server.benched_until)
         if failed:
--- a/tests/test_simwire.py
+++ b/tests/test_simwire.py
@@ -202,6 +202,7 @@
     host = started(f.A, f.B)
     run(host, 1.0, f.about(3), f.define_list(1, f.entry(f.A, status=0)), f.membership(1, 0))
     assert sends(run(host, 2.0, f.about(3), f.submit(1))) == [(1, f.B)]
+    run(host, 2.5, f.about(3), f.verdict(1, f.B, 100, done=1))
     run(host, 3.0, f.about(3), f.define_list(2, f.entry(f.C)), f.membership(2, 1))
     assert sends(run(host, 4.0, f.about(3), f.submit(2))) == [(2, f.C)]
     run(host, 5.0, f.about(3), f.verdict(2, f.C, 100, done=1))
