Turns, owed answers and cold pacing go by listed size

Conclusion: the listed size is the only thing an instance knows of a server before it has met it; on thick traffic it adds nothing and costs nothing. Sizes that carry a load (live) are not taken for sizes.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -125,6 +125,8 @@
     owed: int = 0  # attempts out
     fails: int = 0  # failures, halved by each answer
     benched_until: float = -math.inf  # no turns
+    size: float = 1.0  # as listed, 1: the mean
+    passed: float = 0.0  # times the turn came by, as its size counts them
     wary_until: float = -math.inf  # turns only where no other server has quota
 
 
@@ -170,7 +172,9 @@
         self._recent = list(self._usual)
         self._arrivals = Meter(now)
         self._sends, self._served = Meter(now), Meter(now)  # attempts, and answers in time
-        self._window = self._even = self._span = self._owe_most = self._owe_all = self._memory = 1.0
+        self._window = self._even = self._span = self._owe_each = self._owe_all = self._largest = (
+            self._memory
+        ) = 1.0
         self._tenants = [Meter(now) for _ in settings.tenants]
         self._retries = RETRY_SAVED
         self._ask_at, self._ask_wait = math.inf, ASK_AGAIN_MS[0]
@@ -247,8 +251,7 @@
         # What a server may owe follows the answers in time, not the requests: a burst is no more capacity.
         all_due = self._served.rate(self._now, RATE_MS) * self._window
         shared = OWED_SHARED * ready / max(self._set.instances, 1)
-        self._owe_all, due = max(OWED_TIMES * all_due + shared, 1.0), all_due / ready
-        self._owe_most = due + CHANCE_OWED * math.sqrt(due)
+        self._owe_all, self._owe_each = max(OWED_TIMES * all_due + shared, 1.0), all_due / ready
         # The thinner the traffic the longer one late answer counts: a limit learns nothing from one.
         self._memory = max(1 / self._even, min(MEMORY_SENDS / self._even**2 / self._window, MEMORY_MAX_MS))
 
@@ -262,13 +265,14 @@
         """Whether a turn may go to this server now."""
         if self._now < server.benched_until:
             return False
-        if server.owed and (server.fails or server.owed + 1 > self._owe_most):
+        due = self._owe_each * server.size
+        if server.owed and (server.fails or server.owed + 1 > due + CHANCE_OWED * math.sqrt(due)):
             return False  # one trial at a time; and what is owed beyond chance counts against the quota
         most, started = math.inf, server.endpoint.started_at
         cold = self._set.warm_after_ms - (self._now - started)
         if started and cold > 0:  # rule 4: our even share, of what it surely can do
             sure = 1 - (1 - self._set.cold_from) * min(cold / self._set.warm_after_ms, 1.0)
-            most = COLD_CAUTION * sure * self._even
+            most = COLD_CAUTION * sure * self._even * server.size
         return server.brake.has_quota(self._now, self._window, self._span, most)
 
     def _pick(self, job: Job) -> Server | None:
@@ -277,6 +281,9 @@
         for index in (step % count for step in range(self._turn, self._turn + count)):
             server = self._ring[index]
             if self._may_go(job, server) and self._open(server):
+                server.passed = server.passed % 1.0 + server.size / self._largest
+                if server.passed < 1.0:
+                    continue  # a server of half the size gets every second turn
                 if server not in job.tried and self._now >= server.wary_until:
                     self._turn = index + 1
                     return server
@@ -447,9 +454,13 @@
             elif known is None or known.endpoint.started_at != endpoint.started_at:
                 meters = Meter(self._now), Meter(self._now), Meter(self._now)
                 brake = Brake(self._now, self._rng.random(), *meters)  # part of a quota: no common burst
-                self._servers[endpoint.address] = Server(endpoint, brake)
+                self._servers[endpoint.address] = Server(endpoint, brake, passed=self._rng.random())
             else:
                 known.endpoint = endpoint
         self._ring = [server for server in self._servers.values() if server.endpoint.state is State.READY]
+        sizes = [server.endpoint.size if self._set.listed_sizes else 1.0 for server in self._ring]
+        for server, size in zip(self._ring, sizes, strict=True):
+            server.size = size * len(sizes) / sum(sizes)
+        self._largest = max((server.size for server in self._ring), default=1.0)
         if event.cached:
             self._actions.append(Log(f"started with a list of {len(self._ring)} servers"))
--- a/larkcrank/core/interface.py
+++ b/larkcrank/core/interface.py
@@ -86,6 +86,7 @@
     retry_after: bool = False
     max_retry_after_ms: float = 0.0
     max_attempts: int = 1
+    listed_sizes: bool = True  # sizes in the list are nominal ones, not a load of some time ago
     tick_ms: float = 1.0  # events come no oftener than this
     cold_from: float = 1.0  # a server starts at this share of its capacity or more
     warm_after_ms: float = 0.0
@@ -102,7 +103,7 @@
     zone: int = 0
     cell: int = 0
     kind: int = 0
-    weight: float = 1.0
+    size: float = 1.0  # nominal, against the others'; above 0; 1 where the list tells none
     started_at: float = 0.0  # 0: long ago
 
 
--- a/larkcrank/simwire/codec.py
+++ b/larkcrank/simwire/codec.py
@@ -4,6 +4,7 @@
 counted from the start of the frame.
 """
 
+import math
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from struct import Struct
@@ -174,7 +175,8 @@
         for address, zone, cell, state, kind, weight, started in _ENTRY.iter_unpack(content):
             if state not in _STATES:
                 raise reader.fail(f"unknown endpoint status {state} in the list", start)
-            endpoints.append(Endpoint(address, _STATES[state], zone, cell, kind, weight, started))
+            size = weight if 0.0 < weight < math.inf else 1.0  # nothing that a size can be: none told
+            endpoints.append(Endpoint(address, _STATES[state], zone, cell, kind, size, started))
         self._lists[int(number)] = tuple(endpoints)
 
     def _record(self, reader: Reader, code: int, start: int) -> Record:
--- a/larkcrank/simwire/settings.py
+++ b/larkcrank/simwire/settings.py
@@ -5,6 +5,7 @@
 from larkcrank.core.interface import Effect, Group, RequestClass, Settings, Tenant
 
 _EFFECTS = {"retryable": Effect.SAFE, "dedup": Effect.KEYED, "fragile": Effect.UNSAFE}
+_SIZES = ("nominal", "rough")  # what else a list may carry is no size
 _GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 
 
@@ -55,6 +56,7 @@
     contract: _Contract
     customers: list[_Customer] = []
     registry_mode: str = "subscribe"
+    weights: str = "silent"
     resolution_ms: float = 1.0
     az: int = 0
     ordinal: int = 0
@@ -82,6 +84,7 @@
         second_copies=bounds.second_copies,
         retry_after=bounds.retry_after,
         max_retry_after_ms=bounds.max_retry_after_ms,
+        listed_sizes=config.weights in _SIZES,
         max_attempts=bounds.send_cap,
         tick_ms=config.resolution_ms,
         cold_from=contract.cold_from,
--- a/tests/frames.py
+++ b/tests/frames.py
@@ -49,8 +49,10 @@
     return struct.pack(">BII", 4, number, len(entries)) + b"".join(entries)
 
 
-def entry(address: bytes, status: int = 1, zone: int = 0, cell: int = 0, started: float = 0.0) -> bytes:
-    return address + struct.pack(">BHBBfd", zone, cell, status, 0, 1.0, started)
+def entry(
+    address: bytes, status: int = 1, zone: int = 0, cell: int = 0, started: float = 0.0, size: float = 1.0
+) -> bytes:
+    return address + struct.pack(">BHBBfd", zone, cell, status, 0, size, started)
 
 
 def membership(number: int, mode: int, revision: int = 1) -> bytes:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -241,6 +241,18 @@
     assert order[:4] == order[4:8] == order[8:]
 
 
+@pytest.mark.parametrize("listed, half", [(True, 20), (False, 30)])
+def test_a_server_of_half_the_size_gets_every_second_turn(listed: bool, half: int) -> None:
+    # At even turns hundreds of thin instances filled the small machines, and none saw enough of one to tell.
+    desk = Desk(servers=0, listed_sizes=listed)
+    desk.do(
+        ServerList(tuple(Endpoint(address(i), size=0.5 + (i % 2) * 0.5) for i in range(4)), complete=True)
+    )
+    order = desk.turns(120, gap=80.0)
+    for number in range(0, 4, 2):
+        assert abs(order.count(address(number)) - half) <= 1
+
+
 def test_instances_start_their_turns_at_different_servers() -> None:
     firsts = {sends(Desk(servers=8, seed=seed).take()[1])[0] for seed in range(12)}
     assert len(firsts) > 3
@@ -297,11 +309,11 @@
     # It once followed arrivals: in a burst every instance let every server owe more, and all servers choked.
     desk = Desk(servers=4)
     desk.warm(100, gap=20.0)
-    before = desk.balancer._owe_most
+    before = desk.balancer._owe_each
     for _ in range(100):
         desk.take(TAKE, left=4000.0)
         desk.wait(4.0)
-    assert desk.balancer._owe_most <= before
+    assert desk.balancer._owe_each <= before
 
 
 def test_all_servers_together_owe_only_so_much() -> None:
--- a/tests/test_simwire.py
+++ b/tests/test_simwire.py
@@ -198,6 +198,23 @@
     assert sends(found) == [(2, f.B)]  # what the old life decided is void
 
 
+@pytest.mark.parametrize("size", [0.0, -1.0, float("nan"), float("inf")])
+def test_a_listed_size_that_none_can_have_counts_as_the_usual(size: float) -> None:
+    body = bytes(
+        f.about(3) + f.define_list(0, f.entry(f.A, size=size), f.entry(f.B, size=0.5)) + f.membership(0, 1)
+    )
+    [(_, record)] = codec.Decoder().records(body, 3)
+    assert isinstance(record, api.ServerList)
+    assert [endpoint.size for endpoint in record.endpoints] == [1.0, 0.5]
+
+
+@pytest.mark.parametrize(
+    "weights, listed", [("nominal", True), ("rough", True), ("live", False), ("silent", False)]
+)
+def test_only_nominal_sizes_are_taken_for_sizes(weights: str, listed: bool) -> None:
+    assert settings.parse(json.dumps(f.CONFIG | {"weights": weights}).encode()).listed_sizes is listed
+
+
 def test_deltas_change_the_list_and_a_full_one_replaces_it() -> None:
     host = started(f.A, f.B)
     run(host, 1.0, f.about(3), f.define_list(1, f.entry(f.A, status=0)), f.membership(1, 0))
