Held, refused and capped by worth: what is worth least is refused first

Cause: under overload every class lost alike, though the settings say what each is worth; a thin instance has one request in hand, so the order of a queue never acted there. Now the cap on all owed scales with a request's worth against the mean.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -176,6 +176,7 @@
             self._memory
         ) = 1.0
         self._tenants = [Meter(now) for _ in settings.tenants]
+        self._worth, self._taken = 1.0, 0  # mean worth of a request, and how many there were
         self._retries = RETRY_SAVED
         self._ask_at, self._ask_wait = math.inf, ASK_AGAIN_MS[0]
         self._wake = -math.inf
@@ -310,6 +311,8 @@
         tenant = request.tenant if self._tenants else 0
         job = self._jobs[request.id] = Job(request.id, request.cls, cls, tenant, aim)
         self._arrivals.add(self._now, RATE_MS)
+        self._taken += 1
+        self._worth += max(1 / self._taken, ANSWER_WEIGHT) * (cls.worth - self._worth)
         self._retries = min(self._retries + RETRY_SHARE, RETRY_SAVED)
         if request.time_left_ms <= self._set.tick_ms:
             self._give_up(job)
@@ -322,28 +325,28 @@
         self._held.append(job)
         slack = job.last_call - self._now
         if len(self._held) - 1 > HOLD_SHARE * slack * self._sends.rate(self._now, RATE_MS):
-            over = self._over_share()
-            self._give_up(max(self._held, key=lambda held: (over[held.tenant], held.last_call)))
+            self._sort_held()
+            self._give_up(self._held[-1])
 
-    def _over_share(self) -> list[bool]:
-        """For each tenant, whether it has had more than its portion of late."""
+    def _sort_held(self) -> None:
+        """Tenants within their share first, then who is worth most, then who can wait least."""
         had = [meter.faded(self._now, TENANT_MS) for meter in self._tenants]
-        return [h > t.portion * sum(had) for h, t in zip(had, self._set.tenants, strict=True)] or [False]
+        over = [h > t.portion * sum(had) for h, t in zip(had, self._set.tenants, strict=True)] or [False]
+        self._held.sort(key=lambda job: (over[job.tenant], -job.cls.worth, job.last_call))
 
     def _send_held(self) -> None:
-        """Send what quotas allow: tenants within their share first, then who can wait least."""
-        if len(self._held) > 1 and any(self._open(server) for server in self._ring):
-            over = self._over_share()
-            self._held.sort(key=lambda job: (over[job.tenant], job.last_call))
+        """Send what quotas allow."""
+        self._sort_held()
         waiting, self._held, spent = self._held, [], False
         left: list[Job] = []
         for job in waiting:
-            spent = spent or len(self._attempts) >= self._owe_all
-            server = None if spent else self._pick(job)
+            # A thin instance has one request in hand: the cap, not a queue, must tell which are worth more.
+            full = len(self._attempts) >= max(self._owe_all * job.cls.worth / (self._worth or 1.0), 1.0)
+            server = None if spent or full else self._pick(job)
             if server is not None:
                 self._send(job, server)
                 continue
-            spent = spent or job.ran is None  # it might have gone anywhere: so nobody else can
+            spent = spent or (job.ran is None and not full)  # it might have gone anywhere: so nobody else can
             left.append(job)
             if self._now >= job.last_call:
                 self._give_up(left.pop())
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -302,6 +302,37 @@
     assert next(action.id for action in released if isinstance(action, Send)) == wanted
 
 
+def test_what_is_worth_more_goes_first_and_is_refused_last() -> None:
+    desk = Desk(servers=1)
+    first = desk.fill()
+    plain, actions = desk.take(VIEW)
+    assert sends(actions) == []
+    dear, actions = desk.take(BOOK, left=5000.0)
+    assert sends(actions) == [] and Refuse(dear) not in finals(actions)
+    released = desk.end(first) + desk.wait(250.0)
+    assert next(action.id for action in released if isinstance(action, Send)) == dear
+    assert plain not in [action.id for action in released if isinstance(action, Send)][:1]
+
+
+def test_a_thin_instance_keeps_its_last_place_for_what_is_worth_more() -> None:
+    # With one request in hand there is no queue to sort: the cap on what is owed must tell.
+    desk = Desk(servers=40, instances=300)
+    for number in range(40):
+        desk.take(BOOK if number % 4 == 0 else VIEW, left=5000.0)
+        desk.wait(20.0)
+        for key in list(desk.out):
+            desk.end(key[0], attempt=key[1], elapsed=20.0)
+        desk.wait(280.0)
+    while sends(desk.take(VIEW)[1]):
+        assert len(desk.out) < 5
+    assert sends(desk.take(BOOK, left=5000.0)[1])
+
+
+def test_a_request_worth_nothing_is_still_served() -> None:
+    desk = Desk(classes=(RequestClass("free", Effect.SAFE, Group.ALL, 1000.0, 2500.0, 5000.0, 0.0),))
+    assert len(desk.turns(3, gap=100.0)) == 3
+
+
 # Further attempts and final answers
 
 
