Past the aim, refused clients are told to come back as late as allowed

Cause: a request that missed its aim is worth nothing; its client came back after a quarter of the aim and took a place from another's.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -382,7 +382,8 @@
         safe = job.cls.effect is Effect.SAFE
         dropped = job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL
         harmless = safe or dropped or (job.ran is None and not job.out)
-        hint = min(self._set.max_retry_after_ms, HINT_AIM * job.cls.aim_ms) if self._set.retry_after else 0.0
+        hint = HINT_AIM * job.cls.aim_ms if self._now < job.aim_at else math.inf
+        hint = min(self._set.max_retry_after_ms, hint) if self._set.retry_after else 0.0
         self._actions.append(Refuse(job.id, hint) if harmless else Fail(job.id))
         self._close(job.id)
 
