--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -4,6 +4,7 @@
 All times are milliseconds on the caller's clock, all rates sends a millisecond.
 """
 
+import bisect
 import heapq
 import math
 from dataclasses import dataclass, field
@@ -147,6 +148,7 @@
     tenant: int
     aim_at: float
     last_call: float = 0.0  # held longer than this, its answer would miss the aim
+    rank: tuple[bool, float, float] = (False, 0.0, 0.0)  # in the held queue
     sends: int = 0
     out: dict[int, Attempt] = field(default_factory=dict)
     ran: Attempt | None = None  # the first attempt that may have run
@@ -321,22 +323,18 @@
         self._hold(job)
 
     def _hold(self, job: Job) -> None:
+        """Queue a request: tenants within their share first, then what is worth most, then who can wait least."""
         job.last_call = self._last_call(job)
-        self._held.append(job)
+        had = [meter.faded(self._now, TENANT_MS) for meter in self._tenants]
+        over = bool(had) and had[job.tenant] > self._set.tenants[job.tenant].portion * sum(had)
+        job.rank = (over, -job.cls.worth, job.last_call)
+        bisect.insort(self._held, job, key=lambda held: held.rank)
         slack = job.last_call - self._now
         if len(self._held) - 1 > HOLD_SHARE * slack * self._sends.rate(self._now, RATE_MS):
-            self._sort_held()
             self._give_up(self._held[-1])
 
-    def _sort_held(self) -> None:
-        """Tenants within their share first, then who is worth most, then who can wait least."""
-        had = [meter.faded(self._now, TENANT_MS) for meter in self._tenants]
-        over = [h > t.portion * sum(had) for h, t in zip(had, self._set.tenants, strict=True)] or [False]
-        self._held.sort(key=lambda job: (over[job.tenant], -job.cls.worth, job.last_call))
-
     def _send_held(self) -> None:
         """Send what quotas allow."""
-        self._sort_held()
         waiting, self._held, spent = self._held, [], False
         left: list[Job] = []
         for job in waiting:
