--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -35,8 +35,8 @@
 USUAL_UP = 0.01  # ... and of a slower one in the usual: a crowd must not make waiting look usual
 FIRST_USUAL_AIM = 0.2  # usual answer time before any answer, as a share of the aim
 HINT_AIM = 0.25  # of the aim: a refused client comes back while an answer is still worth something
-MEMORY_SENDS = 0.5  # a late server is second choice for a turn, times this over its sends a window ...
-MEMORY_MAX_MS = 60000.0  # ... up to this, unless a turn takes longer: troubles last tens of seconds
+THIN_SENDS = 0.1  # sends a window to a mean server; under it a limit learns too late, and listed sizes count
+MEMORY_MS = 30000.0  # a late server is second choice this long on thin traffic: troubles last tens of seconds
 BENCH_DOUBLINGS = 4  # a failing server is left alone for 1, 2, 4 ... overdue times, doubled so often
 RETRY_SHARE = 0.2  # further attempts allowed, as a share of requests taken
 RETRY_SAVED = 10.0  # further attempts that a quiet time may save up
@@ -179,7 +179,7 @@
         ) = 1.0
         self._tenants = [Meter(now) for _ in settings.tenants]
         self._worth, self._taken = 1.0, 0  # mean worth of a request, and how many there were
-        self._retries = RETRY_SAVED
+        self._retries, self._thin = RETRY_SAVED, True
         self._ask_at, self._ask_wait = math.inf, ASK_AGAIN_MS[0]
         self._wake = -math.inf
         if settings.must_ask:
@@ -255,8 +255,9 @@
         all_due = self._served.rate(self._now, RATE_MS) * self._window
         shared = OWED_SHARED * ready / max(self._set.instances, 1)
         self._owe_all, self._owe_each = max(OWED_TIMES * all_due + shared, 1.0), all_due / ready
-        # The thinner the traffic the longer one late answer counts: a limit learns nothing from one.
-        self._memory = max(1 / self._even, min(MEMORY_SENDS / self._even**2 / self._window, MEMORY_MAX_MS))
+        # Too thin for a limit to learn: one late answer, and the listed size, are all there is to go by.
+        self._thin = self._even * self._window < THIN_SENDS
+        self._memory = max(1 / self._even, MEMORY_MS if self._thin else 0.0)
 
     def _last_call(self, job: Job) -> float:
         """When it is too late to send: an answer would miss the aim."""
@@ -268,14 +269,15 @@
         """Whether a turn may go to this server now."""
         if self._now < server.benched_until:
             return False
-        due = self._owe_each * server.size
+        size = server.size if self._thin else 1.0
+        due = self._owe_each * size
         if server.owed and (server.fails or server.owed + 1 > due + CHANCE_OWED * math.sqrt(due)):
             return False  # one trial at a time; and what is owed beyond chance counts against the quota
         most, started = math.inf, server.endpoint.started_at
         cold = self._set.warm_after_ms - (self._now - started)
         if started and cold > 0:  # rule 4: our even share, of what it surely can do
             sure = 1 - (1 - self._set.cold_from) * min(cold / self._set.warm_after_ms, 1.0)
-            most = COLD_CAUTION * sure * self._even * server.size
+            most = COLD_CAUTION * sure * self._even * size
         return server.brake.has_quota(self._now, self._window, self._span, most)
 
     def _pick(self, job: Job) -> Server | None:
@@ -284,7 +286,7 @@
         for index in (step % count for step in range(self._turn, self._turn + count)):
             server = self._ring[index]
             if self._may_go(job, server) and self._open(server):
-                server.passed = server.passed % 1.0 + server.size / self._largest
+                server.passed = server.passed % 1.0 + (server.size / self._largest if self._thin else 1.0)
                 if server.passed < 1.0:
                     continue  # a server of half the size gets every second turn
                 if server not in job.tried and self._now >= server.wary_until:
@@ -323,7 +325,7 @@
         self._hold(job)
 
     def _hold(self, job: Job) -> None:
-        """Queue a request: tenants within their share first, then what is worth most, then who can wait least."""
+        """Queue a request: tenants within their share, then what is worth most, then who can wait least."""
         job.last_call = self._last_call(job)
         had = [meter.faded(self._now, TENANT_MS) for meter in self._tenants]
         over = bool(had) and had[job.tenant] > self._set.tenants[job.tenant].portion * sum(had)
