--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -180,6 +180,7 @@
         self._tenants = [Meter(now) for _ in settings.tenants]
         self._worth, self._taken = 1.0, 0  # mean worth of a request, and how many there were
         self._retries, self._thin = RETRY_SAVED, True
+        self._debt, self._last, self._raw = 0.0, now, 1.0
         self._ask_at, self._ask_wait = math.inf, ASK_AGAIN_MS[0]
         self._wake = -math.inf
         if settings.must_ask:
@@ -254,7 +255,10 @@
         # What a server may owe follows the answers in time, not the requests: a burst is no more capacity.
         all_due = self._served.rate(self._now, RATE_MS) * self._window
         shared = OWED_SHARED * ready / max(self._set.instances, 1)
-        self._owe_all, self._owe_each = max(OWED_TIMES * all_due + shared, 1.0), all_due / ready
+        self._debt = max(self._debt + (len(self._attempts) - self._raw) * (self._now - self._last) * 1, 0.0)
+        self._last = self._now
+        self._raw = OWED_TIMES * all_due + shared
+        self._owe_all, self._owe_each = max(self._raw, 1.0), all_due / ready
         # Too thin for a limit to learn: one late answer, and the listed size, are all there is to go by.
         self._thin = self._even * self._window < THIN_SENDS
         self._memory = max(1 / self._even, MEMORY_MS if self._thin else 0.0)
@@ -341,7 +345,7 @@
         left: list[Job] = []
         for job in waiting:
             # A thin instance has one request in hand: the cap, not a queue, must tell which are worth more.
-            full = len(self._attempts) >= max(self._owe_all * job.cls.worth / (self._worth or 1.0), 1.0)
+            full = self._debt > 3000.0 or len(self._attempts) >= max(self._owe_all * job.cls.worth / (self._worth or 1.0), 1.0)
             server = None if spent or full else self._pick(job)
             if server is not None:
                 self._send(job, server)
