--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -27,7 +27,7 @@
 CHANCE_MISSES = 1.5  # misses in a span that chance alone may bring ...
 CHANCE_SHARE = 0.25  # ... and the share of its sends; above both, sends outrun answers
 OWED_TIMES = 3.0  # times the usual number of attempts out, at all servers together ...
-OWED_SHARED = 2.0  # ... and so many more a server, shared by all instances: thin ones add up
+OWED_SHARED = 6.0  # ... and so many more a server, shared by all instances: thin ones add up
 CHANCE_OWED = 2.0  # standard deviations of chance in the number of attempts out
 OVERDUE_TIMES = 4.0  # an answer is overdue after this many usual answer times ...
 OVERDUE_AIM = 0.5  # ... or this share of its aim: later leaves no time to mend it
@@ -345,7 +345,7 @@
         left: list[Job] = []
         for job in waiting:
             # A thin instance has one request in hand: the cap, not a queue, must tell which are worth more.
-            full = self._debt > 3000.0 or len(self._attempts) >= max(self._owe_all * job.cls.worth / (self._worth or 1.0), 1.0)
+            full = self._debt > 1000.0 or len(self._attempts) >= max(self._owe_all * job.cls.worth / (self._worth or 1.0), 1.0)
             server = None if spent or full else self._pick(job)
             if server is not None:
                 self._send(job, server)
