Discovery calls spread by instances; no floor under a cold server's share; bounded look for a server

Each instance's even share had a floor of one send in 20 s, so hundreds of thin instances together could send a cold server a multiple of its share. The look for a server walked the whole ring at every event while all were spent.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -27,7 +27,7 @@
 CHANCE_MISSES = 1.5  # misses in a span that chance alone may bring ...
 CHANCE_SHARE = 0.25  # ... and the share of its sends; above both, sends outrun answers
 OWED_TIMES = 3.0  # times the usual number of attempts out, at all servers together ...
-OWED_SHARED = 6.0  # ... and so many more a server, shared by all instances: thin ones add up
+OWED_SHARED = 2.0  # ... and so many more a server, shared by all instances: thin ones add up
 CHANCE_OWED = 2.0  # standard deviations of chance in the number of attempts out
 OVERDUE_TIMES = 4.0  # an answer is overdue after this many usual answer times ...
 OVERDUE_AIM = 0.5  # ... or this share of its aim: later leaves no time to mend it
@@ -38,13 +38,14 @@
 THIN_SENDS = 0.1  # sends a window to a mean server; under it a limit learns too late, and listed sizes count
 MEMORY_MS = 30000.0  # a late server is second choice this long on thin traffic: troubles last tens of seconds
 BENCH_DOUBLINGS = 4  # a failing server is left alone for 1, 2, 4 ... overdue times, doubled so often
+LOOK_MOST = 64  # servers looked at for one request in one event
 RETRY_SHARE = 0.2  # further attempts allowed, as a share of requests taken
 RETRY_SAVED = 10.0  # further attempts that a quiet time may save up
 COLD_CAUTION = 0.7  # of the share of its capacity that a cold server surely has
 RATE_MS = 2000.0  # time constant of the rate of requests
 TENANT_MS = 5000.0  # time constant of what a tenant has had
-ASK_FIRST_MS = 200.0  # discovery is asked within this after a start: no herd
-ASK_AGAIN_MS = (500.0, 8000.0)  # first and longest wait for another call; jittered after a failure
+ASK_EACH_MS = 20.0  # of spread for each instance's call to discovery: it does not grow with the fleet
+ASK_AGAIN_MS = (500.0, 8000.0)  # least and longest wait for another call
 
 
 @dataclass(slots=True)
@@ -180,11 +181,12 @@
         self._tenants = [Meter(now) for _ in settings.tenants]
         self._worth, self._taken = 1.0, 0  # mean worth of a request, and how many there were
         self._retries, self._thin = RETRY_SAVED, True
-        self._debt, self._last, self._raw = 0.0, now, 1.0
-        self._ask_at, self._ask_wait = math.inf, ASK_AGAIN_MS[0]
+        # All start or fail together: calls are spread, or most time out and come again as a herd.
+        self._spread = min(ASK_EACH_MS * settings.instances, ASK_AGAIN_MS[1])
+        self._ask_at, self._ask_wait = math.inf, max(self._spread, ASK_AGAIN_MS[0])
         self._wake = -math.inf
         if settings.must_ask:
-            self._ask_in(rng.random() * ASK_FIRST_MS)
+            self._ask_in(rng.random() * self._spread)
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take one event at its time and return what to do."""
@@ -202,8 +204,8 @@
             case ServerList():
                 self._list(event)
             case DiscoveryFailed():
-                self._ask_in(self._ask_wait * (0.5 + self._rng.random()))
-                self._ask_wait = min(self._ask_wait * 2, ASK_AGAIN_MS[1])
+                self._ask_wait = min(self._ask_wait * (1 + 2 * self._rng.random()), ASK_AGAIN_MS[1])
+                self._ask_in(self._ask_wait * self._rng.random())
             case ClientGone():
                 self._close(event.id)
             case StreamStarted():
@@ -250,18 +252,16 @@
         """Window, even share and span from our traffic; a shorter window would see sends without answers."""
         self._window = max(sum(self._usual) / len(self._usual), 2 * self._set.tick_ms)
         ready = max(len(self._ring), 1)
-        self._even = max(self._arrivals.rate(self._now, RATE_MS) / ready, 1 / SPAN_MAX_MS)
+        # No floor: cold servers get this from each instance, and hundreds of floors would push one over.
+        self._even = max(self._arrivals.rate(self._now, RATE_MS) / ready, 1e-9)
         self._span = min(max(SPAN_SENDS / self._even, 2 * self._window), SPAN_MAX_MS)
         # What a server may owe follows the answers in time, not the requests: a burst is no more capacity.
         all_due = self._served.rate(self._now, RATE_MS) * self._window
         shared = OWED_SHARED * ready / max(self._set.instances, 1)
-        self._debt = max(self._debt + (len(self._attempts) - self._raw) * (self._now - self._last) * 1, 0.0)
-        self._last = self._now
-        self._raw = OWED_TIMES * all_due + shared
-        self._owe_all, self._owe_each = max(self._raw, 1.0), all_due / ready
+        self._owe_all, self._owe_each = max(OWED_TIMES * all_due + shared, 1.0), all_due / ready
         # Too thin for a limit to learn: one late answer, and the listed size, are all there is to go by.
         self._thin = self._even * self._window < THIN_SENDS
-        self._memory = max(1 / self._even, MEMORY_MS if self._thin else 0.0)
+        self._memory = MEMORY_MS if self._thin else 1 / self._even
 
     def _last_call(self, job: Job) -> float:
         """When it is too late to send: an answer would miss the aim."""
@@ -287,17 +287,17 @@
     def _pick(self, job: Job) -> Server | None:
         """The next server in turn with quota left that this request may go to."""
         count, second = len(self._ring), -1
-        for index in (step % count for step in range(self._turn, self._turn + count)):
+        looked = min(count, LOOK_MOST)  # work an event must not grow with the fleet
+        for index in (step % count for step in range(self._turn, self._turn + looked)):
             server = self._ring[index]
             if self._may_go(job, server) and self._open(server):
+                # On thin traffic a server of half the size gets every second turn.
                 server.passed = server.passed % 1.0 + (server.size / self._largest if self._thin else 1.0)
-                if server.passed < 1.0:
-                    continue  # a server of half the size gets every second turn
-                if server not in job.tried and self._now >= server.wary_until:
+                if server.passed >= 1.0 and server not in job.tried and self._now >= server.wary_until:
                     self._turn = index + 1
                     return server
                 second = index if second < 0 else second
-        self._turn = second + 1 if second >= 0 else self._turn
+        self._turn = second + 1 if second >= 0 else self._turn + looked
         return self._ring[second] if second >= 0 else None
 
     def _may_go(self, job: Job, server: Server) -> bool:
@@ -345,7 +345,7 @@
         left: list[Job] = []
         for job in waiting:
             # A thin instance has one request in hand: the cap, not a queue, must tell which are worth more.
-            full = self._debt > 1000.0 or len(self._attempts) >= max(self._owe_all * job.cls.worth / (self._worth or 1.0), 1.0)
+            full = len(self._attempts) >= max(self._owe_all * job.cls.worth / (self._worth or 1.0), 1.0)
             server = None if spent or full else self._pick(job)
             if server is not None:
                 self._send(job, server)
@@ -451,7 +451,7 @@
 
     def _list(self, event: ServerList) -> None:
         if not event.cached:
-            self._ask_at, self._ask_wait = math.inf, ASK_AGAIN_MS[0]
+            self._ask_at, self._ask_wait = math.inf, max(self._spread, ASK_AGAIN_MS[0])
         if event.complete:
             named = {endpoint.address for endpoint in event.endpoints}
             self._servers = {key: server for key, server in self._servers.items() if key in named}
