--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -175,11 +175,9 @@
         self._recent = list(self._usual)
         self._arrivals = Meter(now)
         self._sends, self._served = Meter(now), Meter(now)  # attempts, and answers in time
-        self._window = self._even = self._span = self._owe_each = self._owe_all = self._largest = (
-            self._memory
-        ) = 1.0
+        self._window = self._even = self._span = self._owe_each = self._owe_all = self._largest = 1.0
         self._tenants = [Meter(now) for _ in settings.tenants]
-        self._worth, self._taken = 1.0, 0  # mean worth of a request, and how many there were
+        self._worth = sum(cls.worth for cls in settings.classes) / len(settings.classes)  # of a mean request
         self._retries, self._thin = RETRY_SAVED, True
         # All start or fail together: calls are spread, or most time out and come again as a herd.
         self._spread = min(ASK_EACH_MS * settings.instances, ASK_AGAIN_MS[1])
@@ -261,7 +259,6 @@
         self._owe_all, self._owe_each = max(OWED_TIMES * all_due + shared, 1.0), all_due / ready
         # Too thin for a limit to learn: one late answer, and the listed size, are all there is to go by.
         self._thin = self._even * self._window < THIN_SENDS
-        self._memory = MEMORY_MS if self._thin else 1 / self._even
 
     def _last_call(self, job: Job) -> float:
         """When it is too late to send: an answer would miss the aim."""
@@ -319,8 +316,7 @@
         tenant = request.tenant if self._tenants else 0
         job = self._jobs[request.id] = Job(request.id, request.cls, cls, tenant, aim)
         self._arrivals.add(self._now, RATE_MS)
-        self._taken += 1
-        self._worth += max(1 / self._taken, ANSWER_WEIGHT) * (cls.worth - self._worth)
+        self._worth += ANSWER_WEIGHT * (cls.worth - self._worth)
         self._retries = min(self._retries + RETRY_SHARE, RETRY_SAVED)
         if request.time_left_ms <= self._set.tick_ms:
             self._give_up(job)
@@ -431,7 +427,8 @@
         server.owed -= 1
         if attempt.missed or failed:
             often = 2 ** min(server.fails, BENCH_DOUBLINGS) if failed else 1
-            server.wary_until = max(now + often * self._memory, server.wary_until)
+            memory = MEMORY_MS if self._thin else 1 / self._even
+            server.wary_until = max(now + often * memory, server.wary_until)
             rest = now + self._window * OVERDUE_TIMES * often
             server.benched_until = max(min(rest, server.wary_until), server.benched_until)
         if failed:
