--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -27,9 +27,10 @@
 CHANCE_MISSES = 1.5  # misses in a span that chance alone may bring ...
 CHANCE_SHARE = 0.25  # ... and the share of its sends; above both, sends outrun answers
 OWED_TIMES = 3.0  # times the usual number of attempts out, at all servers together ...
-OWED_SHARED = 1.0  # ... and so many more a server, shared by all instances: thin ones add up
+OWED_SHARED = 2.0  # ... and so many more a server, shared by all instances: thin ones add up
 CHANCE_OWED = 2.0  # standard deviations of chance in the number of attempts out
 OVERDUE_TIMES = 4.0  # an answer is overdue after this many usual answer times ...
+OVERDUE_THIN = 2.0  # ... or this many on thin traffic, where a miss only makes a server second choice ...
 OVERDUE_AIM = 0.5  # ... or this share of its aim: later leaves no time to mend it
 ANSWER_WEIGHT = 0.05  # of one answer in the recent answer time, of a quicker one in the usual ...
 USUAL_UP = 0.01  # ... and of a slower one in the usual: a crowd must not make waiting look usual
@@ -369,7 +370,8 @@
         server.brake.credit = max(server.brake.credit - 1.0, 0.0)  # no debt from when nothing bound
         server.brake.sends.add(self._now, self._span)
         self._actions.append(Send(job.id, server.endpoint.address))
-        patience = min(OVERDUE_TIMES * self._usual[job.index], OVERDUE_AIM * job.cls.aim_ms)
+        times = OVERDUE_THIN if self._thin else OVERDUE_TIMES
+        patience = min(times * self._usual[job.index], OVERDUE_AIM * job.cls.aim_ms)
         self._at(self._now + patience, "overdue", key)
 
     def _may_repeat(self, job: Job) -> bool:
