--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -285,7 +285,7 @@
     def _pick(self, job: Job) -> Server | None:
         """The next server in turn with quota left that this request may go to."""
         count, second = len(self._ring), -1
-        looked = min(count, LOOK_MOST)  # work an event must not grow with the fleet
+        looked = min(count, LOOK_MOST)  # work for an event must not grow with the fleet
         for index in (step % count for step in range(self._turn, self._turn + looked)):
             server = self._ring[index]
             if self._may_go(job, server) and self._open(server):
@@ -381,9 +381,8 @@
         return allowed and in_time and any(self._may_go(job, server) for server in self._ring)
 
     def _give_up(self, job: Job) -> None:
-        safe = job.cls.effect is Effect.SAFE
         dropped = job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL
-        harmless = safe or dropped or (job.ran is None and not job.out)
+        harmless = job.cls.effect is Effect.SAFE or dropped or (job.ran is None and not job.out)
         hint = HINT_AIM * job.cls.aim_ms if self._now < job.aim_at else math.inf
         hint = min(self._set.max_retry_after_ms, hint) if self._set.retry_after else 0.0
         self._actions.append(Refuse(job.id, hint) if harmless else Fail(job.id))
