Each instance turns in an order of its own; a cold server's own turn is drawn

While those were cold, every instance passed them all and the server after them got the turns of dozens. And on thin traffic a cold server's credit came after its warm-up. Told apart by switching off one exception at a time: sizes, memory and caps all made it worse or nothing. Change: the ring is shuffled by instance; a cold server is taken only at its own turn, with the chance that its sure share gives. Conclusion: who follows a skipped server matters as much as who is skipped.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -73,10 +73,10 @@
     """CARD's limit on sends: cut when they outrun answers, regrown along a cubic."""
 
     window_at: float  # the window under way began
-    credit: float  # sends left of the quota
     sends: Meter
     settled: Meter  # sends that were answered in time or missed, since the last event
     missed: Meter  # of these: failed, or overdue
+    credit: float = 0.0  # sends left of the quota
     limit: float = math.inf  # sends a millisecond; infinite: no event yet, nothing binds
     saturated: float = 0.0  # M
     event_at: float = -math.inf
@@ -107,16 +107,15 @@
             self.limit = growth * (now - self.event_at - regain) ** 3 + self.saturated
             self.rose_at = now
 
-    def has_quota(self, now: float, window: float, span: float, most: float = math.inf) -> bool:
-        """Whether the window's quota allows a send; `most` is a limit from elsewhere."""
-        if min(self.limit, most) == math.inf:
-            return True
-        if now >= self.window_at + window:
+    def has_quota(self, now: float, window: float, span: float) -> bool:
+        """Whether the window's quota allows a send."""
+        if self.limit < math.inf and now >= self.window_at + window:
             self.review(now, window, span)
-            pace = min(self.limit, most)
-            self.credit = min(self.credit + pace * (now - self.window_at), max(1.0, pace * window))
+            self.credit = min(
+                self.credit + self.limit * (now - self.window_at), max(1.0, self.limit * window)
+            )
             self.window_at = now
-        return self.credit >= 1.0
+        return self.limit == math.inf or self.credit >= 1.0
 
 
 @dataclass(slots=True, eq=False)
@@ -125,11 +124,12 @@
 
     endpoint: Endpoint
     brake: Brake
+    place: float  # in the ring, from 0 to 1
     owed: int = 0  # attempts out
     fails: int = 0  # failures, halved by each answer
     benched_until: float = -math.inf  # no turns
-    size: float = 1.0  # as listed, 1: the mean
     passed: float = 0.0  # times the turn came by, as its size counts them
+    size: float = 1.0  # as listed, 1: the mean
     wary_until: float = -math.inf  # turns only where no other server has quota
 
 
@@ -148,6 +148,7 @@
     index: int  # of its class
     cls: RequestClass
     tenant: int
+    came_at: float
     aim_at: float
     last_call: float = 0.0  # held longer than this, its answer would miss the aim
     rank: tuple[bool, float, float] = (False, 0.0, 0.0)  # in the held queue
@@ -179,7 +180,7 @@
         self._window = self._even = self._span = self._owe_each = self._owe_all = self._largest = 1.0
         self._tenants = [Meter(now) for _ in settings.tenants]
         self._worth = sum(cls.worth for cls in settings.classes) / len(settings.classes)  # of a mean request
-        self._retries, self._thin = RETRY_SAVED, True
+        self._retries, self._thin, self._own_turn = RETRY_SAVED, True, True
         # All start or fail together: calls are spread, or most time out and come again as a herd.
         self._spread = min(ASK_EACH_MS * settings.instances, ASK_AGAIN_MS[1])
         self._ask_at, self._ask_wait = math.inf, max(self._spread, ASK_AGAIN_MS[0])
@@ -202,7 +203,7 @@
                 self._outcome(event)
             case ServerList():
                 self._list(event)
-            case DiscoveryFailed():
+            case DiscoveryFailed() if self._set.must_ask:
                 self._ask_wait = min(self._ask_wait * (1 + 2 * self._rng.random()), ASK_AGAIN_MS[1])
                 self._ask_in(self._ask_wait * self._rng.random())
             case ClientGone():
@@ -251,7 +252,6 @@
         """Window, even share and span from our traffic; a shorter window would see sends without answers."""
         self._window = max(sum(self._usual) / len(self._usual), 2 * self._set.tick_ms)
         ready = max(len(self._ring), 1)
-        # No floor: cold servers get this from each instance, and hundreds of floors would push one over.
         self._even = max(self._arrivals.rate(self._now, RATE_MS) / ready, 1e-9)
         self._span = min(max(SPAN_SENDS / self._even, 2 * self._window), SPAN_MAX_MS)
         # What a server may owe follows the answers in time, not the requests: a burst is no more capacity.
@@ -275,20 +275,22 @@
         due = self._owe_each * size
         if server.owed and (server.fails or server.owed + 1 > due + CHANCE_OWED * math.sqrt(due)):
             return False  # one trial at a time; and what is owed beyond chance counts against the quota
-        most, started = math.inf, server.endpoint.started_at
-        cold = self._set.warm_after_ms - (self._now - started)
-        if started and cold > 0:  # rule 4: our even share, of what it surely can do
+        cold = self._set.warm_after_ms - (self._now - server.endpoint.started_at)
+        if server.endpoint.started_at and cold > 0:  # rule 4: at even turns, the part that it surely can do
             sure = 1 - (1 - self._set.cold_from) * min(cold / self._set.warm_after_ms, 1.0)
-            most = COLD_CAUTION * sure * self._even * size
-        return server.brake.has_quota(self._now, self._window, self._span, most)
+            if not self._own_turn or self._rng.random() >= COLD_CAUTION * sure:
+                return False
+        return server.brake.has_quota(self._now, self._window, self._span)
 
     def _pick(self, job: Job) -> Server | None:
         """The next server in turn with quota left that this request may go to."""
-        count, second = len(self._ring), -1
+        count, second, self._own_turn = len(self._ring), -1, self._now == job.came_at
         looked = min(count, LOOK_MOST)  # work for an event must not grow with the fleet
         for index in (step % count for step in range(self._turn, self._turn + looked)):
             server = self._ring[index]
-            if self._may_go(job, server) and self._open(server):
+            if not self._open(server):
+                self._own_turn = False  # what comes after a closed server has its turn early
+            elif self._may_go(job, server):
                 # On thin traffic a server of half the size gets every second turn.
                 server.passed = server.passed % 1.0 + (server.size / self._largest if self._thin else 1.0)
                 if server.passed >= 1.0 and server not in job.tried and self._now >= server.wary_until:
@@ -315,13 +317,10 @@
         cls, deadline = self._set.classes[request.cls], self._now + request.time_left_ms
         aim = deadline if cls.late_worth else min(self._now + cls.aim_ms, deadline)
         tenant = request.tenant if self._tenants else 0
-        job = self._jobs[request.id] = Job(request.id, request.cls, cls, tenant, aim)
+        job = self._jobs[request.id] = Job(request.id, request.cls, cls, tenant, self._now, aim)
         self._arrivals.add(self._now, RATE_MS)
         self._worth += ANSWER_WEIGHT * (cls.worth - self._worth)
         self._retries = min(self._retries + RETRY_SHARE, RETRY_SAVED)
-        if request.time_left_ms <= self._set.tick_ms:
-            self._give_up(job)
-            return
         self._at(deadline - 2 * self._set.tick_ms, "backstop", job)
         self._hold(job)
 
@@ -376,9 +375,8 @@
 
     def _may_repeat(self, job: Job) -> bool:
         """Whether another attempt is allowed, paid for, and in time."""
-        allowed = job.sends < self._set.max_attempts and self._retries >= 1.0
-        in_time = self._now < self._last_call(job)
-        return allowed and in_time and any(self._may_go(job, server) for server in self._ring)
+        allowed = self._now < self._last_call(job) and job.sends < self._set.max_attempts
+        return allowed and self._retries >= 1.0 and any(self._may_go(job, server) for server in self._ring)
 
     def _give_up(self, job: Job) -> None:
         dropped = job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL
@@ -458,12 +456,14 @@
             if endpoint.state is State.GONE:
                 self._servers.pop(endpoint.address, None)
             elif known is None or known.endpoint.started_at != endpoint.started_at:
-                meters = Meter(self._now), Meter(self._now), Meter(self._now)
-                brake = Brake(self._now, self._rng.random(), *meters)  # part of a quota: no common burst
-                self._servers[endpoint.address] = Server(endpoint, brake, passed=self._rng.random())
+                brake = Brake(self._now, Meter(self._now), Meter(self._now), Meter(self._now))
+                place = self._rng.random()
+                self._servers[endpoint.address] = Server(endpoint, brake, place, passed=place)
             else:
                 known.endpoint = endpoint
-        self._ring = [server for server in self._servers.values() if server.endpoint.state is State.READY]
+        # An order of its own: who follows a skipped server gets its turns too, at each instance another.
+        ready = (server for server in self._servers.values() if server.endpoint.state is State.READY)
+        self._ring = sorted(ready, key=lambda server: server.place)
         sizes = [server.endpoint.size if self._set.listed_sizes else 1.0 for server in self._ring]
         for server, size in zip(self._ring, sizes, strict=True):
             server.size = size * len(sizes) / sum(sizes)
