--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -30,7 +30,6 @@
 OWED_SHARED = 2.0  # ... and so many more a server, shared by all instances: thin ones add up
 CHANCE_OWED = 2.0  # standard deviations of chance in the number of attempts out
 OVERDUE_TIMES = 4.0  # an answer is overdue after this many usual answer times ...
-OVERDUE_THIN = 2.0  # ... or this many on thin traffic, where a miss only makes a server second choice ...
 OVERDUE_AIM = 0.5  # ... or this share of its aim: later leaves no time to mend it
 ANSWER_WEIGHT = 0.05  # of one answer in the recent answer time, of a quicker one in the usual ...
 USUAL_UP = 0.01  # ... and of a slower one in the usual: a crowd must not make waiting look usual
@@ -125,10 +124,10 @@
     endpoint: Endpoint
     brake: Brake
     place: float  # in the ring, from 0 to 1
+    passed: float  # times the turn came by, as its size counts them
     owed: int = 0  # attempts out
     fails: int = 0  # failures, halved by each answer
     benched_until: float = -math.inf  # no turns
-    passed: float = 0.0  # times the turn came by, as its size counts them
     size: float = 1.0  # as listed, 1: the mean
     wary_until: float = -math.inf  # turns only where no other server has quota
 
@@ -179,7 +178,7 @@
         self._sends, self._served = Meter(now), Meter(now)  # attempts, and answers in time
         self._window = self._even = self._span = self._owe_each = self._owe_all = self._largest = 1.0
         self._tenants = [Meter(now) for _ in settings.tenants]
-        self._worth = sum(cls.worth for cls in settings.classes) / len(settings.classes)  # of a mean request
+        self._worth, self._taken = 0.0, 0  # mean worth of a request, and how many there were
         self._retries, self._thin, self._own_turn = RETRY_SAVED, True, True
         # All start or fail together: calls are spread, or most time out and come again as a herd.
         self._spread = min(ASK_EACH_MS * settings.instances, ASK_AGAIN_MS[1])
@@ -319,7 +318,8 @@
         tenant = request.tenant if self._tenants else 0
         job = self._jobs[request.id] = Job(request.id, request.cls, cls, tenant, self._now, aim)
         self._arrivals.add(self._now, RATE_MS)
-        self._worth += ANSWER_WEIGHT * (cls.worth - self._worth)
+        self._taken += 1
+        self._worth += max(1 / self._taken, ANSWER_WEIGHT) * (cls.worth - self._worth)
         self._retries = min(self._retries + RETRY_SHARE, RETRY_SAVED)
         self._at(deadline - 2 * self._set.tick_ms, "backstop", job)
         self._hold(job)
@@ -369,8 +369,7 @@
         server.brake.credit = max(server.brake.credit - 1.0, 0.0)  # no debt from when nothing bound
         server.brake.sends.add(self._now, self._span)
         self._actions.append(Send(job.id, server.endpoint.address))
-        times = OVERDUE_THIN if self._thin else OVERDUE_TIMES
-        patience = min(times * self._usual[job.index], OVERDUE_AIM * job.cls.aim_ms)
+        patience = min(OVERDUE_TIMES * self._usual[job.index], OVERDUE_AIM * job.cls.aim_ms)
         self._at(self._now + patience, "overdue", key)
 
     def _may_repeat(self, job: Job) -> bool:
@@ -457,8 +456,8 @@
                 self._servers.pop(endpoint.address, None)
             elif known is None or known.endpoint.started_at != endpoint.started_at:
                 brake = Brake(self._now, Meter(self._now), Meter(self._now), Meter(self._now))
-                place = self._rng.random()
-                self._servers[endpoint.address] = Server(endpoint, brake, place, passed=place)
+                place, passed = self._rng.random(), self._rng.random()
+                self._servers[endpoint.address] = Server(endpoint, brake, place, passed)
             else:
                 known.endpoint = endpoint
         # An order of its own: who follows a skipped server gets its turns too, at each instance another.
