--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -26,6 +26,7 @@
 LAST_CALL_AIM = 0.8  # ... but not more than this share of its aim
 CHANCE_MISSES = 1.5  # misses in a span that chance alone may bring ...
 CHANCE_SHARE = 0.25  # ... and the share of its sends; above both, sends outrun answers
+CELL_SHARE = 0.5  # the same for a cell's sends: a quarter late is usual where servers are unlike
 OWED_TIMES = 3.0  # times the usual number of attempts out, at all servers together ...
 OWED_SHARED = 2.0  # ... and so many more a server, shared by all instances: thin ones add up
 CHANCE_OWED = 2.0  # standard deviations of chance in the number of attempts out
@@ -75,6 +76,7 @@
     sends: Meter
     settled: Meter  # sends that were answered in time or missed, since the last event
     missed: Meter  # of these: failed, or overdue
+    share: float = CHANCE_SHARE
     credit: float = 0.0  # sends left of the quota
     limit: float = math.inf  # sends a millisecond; infinite: no event yet, nothing binds
     saturated: float = 0.0  # M
@@ -92,7 +94,7 @@
 
     def review(self, now: float, window: float, span: float) -> None:
         """Compare sends with answers: cut the limit, let it rise, or leave it."""
-        chance = max(CHANCE_MISSES, CHANCE_SHARE * self.settled.faded(now, span))
+        chance = max(CHANCE_MISSES, self.share * self.settled.faded(now, span))
         if self.missed.faded(now, span) > chance:
             if now - self.rose_at > HYSTERESIS_WINDOWS * window:
                 rate = min(self.sends.rate(now, span), self.limit)
@@ -163,6 +165,7 @@
     def __init__(self, settings: Settings, rng: Random, now: float) -> None:
         self._set, self._rng, self._now = settings, rng, now
         self._actions: list[Action] = []
+        self._cells: dict[int, Brake] = {}
         self._servers: dict[Address, Server] = {}  # all on the list, those that drain too
         self._ring: list[Server] = []  # ready ones, in turn
         self._turn = rng.randrange(1 << 16)  # a start of its own: instances do not turn in step
@@ -170,8 +173,7 @@
         self._held: list[Job] = []
         self._attempts: dict[tuple[int, int], Attempt] = {}
         self._due: list[tuple[float, int, str, object]] = []  # what the timer is for, soonest first
-        self._sequence = 0
-        self._armed, self._timer = math.inf, 0
+        self._sequence, self._armed, self._timer = 0, math.inf, 0
         self._usual = [cls.aim_ms * FIRST_USUAL_AIM for cls in settings.classes]
         self._recent = list(self._usual)
         self._arrivals = Meter(now)
@@ -182,8 +184,7 @@
         self._retries, self._thin, self._own_turn = RETRY_SAVED, True, True
         # All start or fail together: calls are spread, or most time out and come again as a herd.
         self._spread = min(ASK_EACH_MS * settings.instances, ASK_AGAIN_MS[1])
-        self._ask_at, self._ask_wait = math.inf, max(self._spread, ASK_AGAIN_MS[0])
-        self._wake = -math.inf
+        self._ask_at, self._ask_wait, self._wake = math.inf, max(self._spread, ASK_AGAIN_MS[0]), -math.inf
         if settings.must_ask:
             self._ask_in(rng.random() * self._spread)
 
@@ -192,7 +193,7 @@
         self._actions, self._now = [], now
         self._measure()
         if now > self._armed + self._window:  # our own stall: curves stood still with us, no quota piled up
-            for brake in (server.brake for server in self._servers.values()):
+            for brake in [*self._cells.values(), *(server.brake for server in self._servers.values())]:
                 brake.event_at += now - self._armed
                 brake.rose_at, brake.window_at = brake.rose_at + now - self._armed, now
         match event:
@@ -245,33 +246,33 @@
                 self._actions.append(Watch())
                 self._ask_in(ASK_AGAIN_MS[1])
 
-    # The traffic this instance sees
-
     def _measure(self) -> None:
         """Window, even share and span from our traffic; a shorter window would see sends without answers."""
         self._window = max(sum(self._usual) / len(self._usual), 2 * self._set.tick_ms)
         ready = max(len(self._ring), 1)
         self._even = max(self._arrivals.rate(self._now, RATE_MS) / ready, 1e-9)
-        self._span = min(max(SPAN_SENDS / self._even, 2 * self._window), SPAN_MAX_MS)
         # What a server may owe follows the answers in time, not the requests: a burst is no more capacity.
         all_due = self._served.rate(self._now, RATE_MS) * self._window
         shared = OWED_SHARED * ready / max(self._set.instances, 1)
         self._owe_all, self._owe_each = max(OWED_TIMES * all_due + shared, 1.0), all_due / ready
         # Too thin for a limit to learn: one late answer, and the listed size, are all there is to go by.
         self._thin = self._even * self._window < THIN_SENDS
+        many = ready / max(len(self._cells), 1) if self._thin else 1.0  # servers behind one limit
+        self._span = min(max(SPAN_SENDS / (self._even * many), 2 * self._window), SPAN_MAX_MS)
 
     def _last_call(self, job: Job) -> float:
         """When it is too late to send: an answer would miss the aim."""
         return job.aim_at - min(LAST_CALL_TIMES * self._recent[job.index], LAST_CALL_AIM * job.cls.aim_ms)
 
-    # Turns
+    def _brake(self, server: Server) -> Brake:
+        """The limit that binds: on thin traffic a server's own never learns, so its cell's does."""
+        return self._cells[server.endpoint.cell] if self._thin else server.brake
 
     def _open(self, server: Server) -> bool:
         """Whether a turn may go to this server now."""
         if self._now < server.benched_until:
             return False
-        size = server.size if self._thin else 1.0
-        due = self._owe_each * size
+        due = self._owe_each * (server.size if self._thin else 1.0)
         if server.owed and (server.fails or server.owed + 1 > due + CHANCE_OWED * math.sqrt(due)):
             return False  # one trial at a time; and what is owed beyond chance counts against the quota
         cold = self._set.warm_after_ms - (self._now - server.endpoint.started_at)
@@ -279,7 +280,7 @@
             sure = 1 - (1 - self._set.cold_from) * min(cold / self._set.warm_after_ms, 1.0)
             if not self._own_turn or self._rng.random() >= COLD_CAUTION * sure:
                 return False
-        return server.brake.has_quota(self._now, self._window, self._span)
+        return self._brake(server).has_quota(self._now, self._window, self._span)
 
     def _pick(self, job: Job) -> Server | None:
         """The next server in turn with quota left that this request may go to."""
@@ -310,8 +311,6 @@
         same = first.zone == there.zone if group is Group.ZONE else first.cell == there.cell
         return same or group is Group.ALL
 
-    # Requests
-
     def _take(self, request: Request) -> None:
         cls, deadline = self._set.classes[request.cls], self._now + request.time_left_ms
         aim = deadline if cls.late_worth else min(self._now + cls.aim_ms, deadline)
@@ -366,8 +365,9 @@
         job.tried.append(server)
         server.owed += 1
         self._sends.add(self._now, RATE_MS)
-        server.brake.credit = max(server.brake.credit - 1.0, 0.0)  # no debt from when nothing bound
-        server.brake.sends.add(self._now, self._span)
+        brake = self._brake(server)
+        brake.credit = max(brake.credit - 1.0, 0.0)  # no debt from when nothing bound
+        brake.sends.add(self._now, self._span)
         self._actions.append(Send(job.id, server.endpoint.address))
         patience = min(OVERDUE_TIMES * self._usual[job.index], OVERDUE_AIM * job.cls.aim_ms)
         self._at(self._now + patience, "overdue", key)
@@ -399,7 +399,7 @@
             attempt.missed = missed
             if not missed:
                 self._served.add(self._now, RATE_MS)
-            attempt.server.brake.settle(self._now, self._window, self._span, attempt.sent_at, missed)
+            self._brake(attempt.server).settle(self._now, self._window, self._span, attempt.sent_at, missed)
 
     def _outcome(self, event: Outcome) -> None:
         attempt = self._attempts.pop((event.id, event.attempt), None)
@@ -442,8 +442,6 @@
                 off = event.elapsed_ms - self._usual[job.index]
                 self._usual[job.index] += (USUAL_UP if off > 0 else ANSWER_WEIGHT) * off
 
-    # Discovery
-
     def _list(self, event: ServerList) -> None:
         if not event.cached:
             self._ask_at, self._ask_wait = math.inf, max(self._spread, ASK_AGAIN_MS[0])
@@ -451,6 +449,8 @@
             named = {endpoint.address for endpoint in event.endpoints}
             self._servers = {key: server for key, server in self._servers.items() if key in named}
         for endpoint in event.endpoints:
+            meters = Meter(self._now), Meter(self._now), Meter(self._now)
+            self._cells.setdefault(endpoint.cell, Brake(self._now, *meters, CELL_SHARE))
             known = self._servers.get(endpoint.address)
             if endpoint.state is State.GONE:
                 self._servers.pop(endpoint.address, None)
@@ -467,5 +467,3 @@
         for server, size in zip(self._ring, sizes, strict=True):
             server.size = size * len(sizes) / sum(sizes)
         self._largest = max((server.size for server in self._ring), default=1.0)
-        if event.cached:
-            self._actions.append(Log(f"started with a list of {len(self._ring)} servers"))
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -695,6 +695,24 @@
     assert server.brake.credit <= 1.0
 
 
+def test_on_thin_traffic_the_servers_of_a_cell_share_a_limit() -> None:
+    # At a send a minute no server's own limit ever had an event: at full size CARD's limit slept.
+    desk = Desk(servers=0, instances=300)
+    lines = tuple(Endpoint(address(i), cell=i % 2) for i in range(20))
+    desk.do(ServerList(lines, complete=True))
+    sick = 0  # one cell is slow
+    for _ in range(60):
+        _, actions = desk.take(TAKE, left=4000.0)
+        slow = any(where[3] % 2 == sick for where in sends(actions))
+        desk.wait(900.0 if slow else 20.0)
+        for key in list(desk.out):
+            desk.end(key[0], attempt=key[1], elapsed=900.0 if slow else 20.0)
+        desk.wait(600.0)
+    cells, own = desk.balancer._cells, [server.brake for server in desk.balancer._ring]
+    assert cells[sick].event_at > 0.0 and cells[1].limit == math.inf
+    assert all(brake.limit == math.inf for brake in own)  # one miss cuts one limit
+
+
 def test_answers_that_wait_for_us_are_not_overdue() -> None:
     desk = Desk(servers=2)
     desk.warm()
