--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -36,7 +36,7 @@
 USUAL_UP = 0.01  # ... and of a slower one in the usual: a crowd must not make waiting look usual
 FIRST_USUAL_AIM = 0.2  # usual answer time before any answer, as a share of the aim
 HINT_AIM = 0.25  # of the aim: a refused client comes back while an answer is still worth something
-THIN_SENDS = 0.1  # sends a window to a mean server; under it a limit learns too late, and listed sizes count
+THIN_SENDS = 0.1  # sends a window to a mean server; under it its own limit never learns in time
 MEMORY_MS = 30000.0  # a late server is second choice this long on thin traffic: troubles last tens of seconds
 BENCH_DOUBLINGS = 4  # a failing server is left alone for 1, 2, 4 ... overdue times, doubled so often
 LOOK_MOST = 64  # servers looked at for one request in one event
@@ -255,7 +255,7 @@
         all_due = self._served.rate(self._now, RATE_MS) * self._window
         shared = OWED_SHARED * ready / max(self._set.instances, 1)
         self._owe_all, self._owe_each = max(OWED_TIMES * all_due + shared, 1.0), all_due / ready
-        # Too thin for a limit to learn: one late answer, and the listed size, are all there is to go by.
+        # Too thin for a server's own limit: its cell's limit, one late answer and listed sizes stand in.
         self._thin = self._even * self._window < THIN_SENDS
         many = ready / max(len(self._cells), 1) if self._thin else 1.0  # servers behind one limit
         self._span = min(max(SPAN_SENDS / (self._even * many), 2 * self._window), SPAN_MAX_MS)
