--- /dev/null
+++ b/larkcrank/__main__.py
@@ -0,0 +1,32 @@
+"""`python -m larkcrank`: one sidecar, configured by PROXY_CONFIG. See README.md."""
+
+import asyncio
+import os
+import sys
+
+from larkcrank.config.sidecar import Config, ConfigError, load
+from larkcrank.program.log import Log
+from larkcrank.program.sidecar import Sidecar
+
+
+async def _run(config: Config, log: Log) -> None:
+    await Sidecar(config, log).run()
+
+
+def main() -> int:
+    try:
+        config = load(os.environ)
+    except ConfigError as error:
+        Log(os.environ.get("PROXY_NAME", "")).event("bad_configuration", message=str(error))
+        return 2
+    log = Log(config.name)
+    try:
+        asyncio.run(_run(config, log))
+    except OSError as error:  # the address is taken, or not ours
+        log.event("cannot_listen", message=str(error))
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/larkcrank/config/__init__.py
@@ -0,0 +1,1 @@
+"""The one place where configuration is read, checked and given defaults."""
--- a/larkcrank/simwire/settings.py
+++ b/larkcrank/config/settings.py
@@ -1,4 +1,9 @@
-"""The settings text of the simulator's wire to the balancer's `Settings`. Unknown keys are ignored."""
+"""The platform's settings object, as the simulator's wire and the sidecar's configuration carry it.
+
+Unknown keys are ignored; a message about a key that is missing or wrong names it.
+"""
+
+from dataclasses import dataclass
 
 import msgspec
 
@@ -36,6 +41,9 @@
 
 class _Bounds(_Wire):
     send_cap: int
+    connect_timeout_ms: float = 250.0
+    keepalive_ms: float = 15000.0
+    max_open: int = 20000
     may_cancel: bool = False
     probes: bool = False
     second_copies: bool = False
@@ -48,6 +56,12 @@
     warm_after_ms: float
     fall_multiple: float
     fall_ms: float
+    grace_to_answer_ms: float = 20.0
+
+
+class _Report(_Wire):
+    how: str = "silent"
+    fields: list[str] = []
 
 
 class _Config(_Wire):
@@ -61,16 +75,59 @@
     az: int = 0
     ordinal: int = 0
     n_instances: int = 1
+    report: _Report = msgspec.field(default_factory=_Report)
+    zones: list[str] = []
+    kinds: list[str] = []
+
+
+@dataclass(slots=True, frozen=True)
+class Site:
+    """The settings: what decisions need, and what only a transport needs."""
+
+    decisions: Settings
+    connect_timeout_ms: float
+    keepalive_ms: float  # an endpoint closes a connection that stood idle so long
+    max_open: int  # requests in hand
+    grace_ms: float  # after the client's deadline an answer still counts so long
+    load_fields: tuple[str, ...]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
 
 
 _decoder = msgspec.json.Decoder(_Config)
 
 
-def parse(text: bytes) -> Settings:
+def parse(text: bytes) -> Site:
+    """The settings from JSON text."""
     try:
-        config = _decoder.decode(text)
+        return _site(_decoder.decode(text))
     except msgspec.DecodeError as error:  # ValidationError is one too
         raise SettingsError(f"settings: {error}") from None
+
+
+def convert(value: object) -> Site:
+    """The settings from an object that was JSON."""
+    try:
+        return _site(msgspec.convert(value, _Config))
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"settings: {error}") from None
+
+
+def _site(config: _Config) -> Site:
+    bounds = config.bounds
+    return Site(
+        decisions=_settings(config),
+        connect_timeout_ms=bounds.connect_timeout_ms,
+        keepalive_ms=bounds.keepalive_ms,
+        max_open=bounds.max_open,
+        grace_ms=config.contract.grace_to_answer_ms,
+        load_fields=() if config.report.how == "silent" else tuple(config.report.fields),
+        zones=tuple(config.zones),
+        kinds=tuple(config.kinds),
+    )
+
+
+def _settings(config: _Config) -> Settings:
     bounds, contract = config.bounds, config.contract
     return Settings(
         classes=tuple(_request_class(i, grade) for i, grade in enumerate(config.grades)),
--- /dev/null
+++ b/larkcrank/config/sidecar.py
@@ -0,0 +1,95 @@
+"""What a sidecar is told at its start: the platform's JSON file and the environment."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+
+from larkcrank.config.settings import SettingsError, Site, convert
+from larkcrank.protocol.discovery import host_port
+
+LEAST_SOCKETS = 64
+
+
+class ConfigError(Exception):
+    """The configuration lacks something or holds what can't be. The message names the key."""
+
+
+class _Limits(msgspec.Struct):
+    cores: float = 1.0
+    memory_mb: float = 192.0
+    sockets: int = 1024
+
+
+class _File(msgspec.Struct):
+    settings: dict[str, Any]
+    name: str = ""
+    listen: str = ""
+    discovery: str = ""
+    seed: str = ""
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    known: msgspec.Raw = msgspec.Raw(b"")
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    known: bytes  # the list as last held, in discovery's form; empty where there is none
+    site: Site
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """Read the file that PROXY_CONFIG names; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY outrank it."""
+    path = environment.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG: not set; it names the configuration file")
+    try:
+        text = Path(path).read_bytes()
+    except OSError as error:
+        raise ConfigError(f"PROXY_CONFIG: {path}: {error.strerror}") from None
+    return parse(text, environment)
+
+
+def parse(text: bytes, environment: Mapping[str, str]) -> Config:
+    try:
+        file = msgspec.json.decode(text, type=_File)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"configuration: {error}") from None
+    if file.limits.sockets < LEAST_SOCKETS:
+        raise ConfigError(f"limits.sockets: {file.limits.sockets} is under {LEAST_SOCKETS}")
+    try:
+        site = convert(file.settings)
+    except SettingsError as error:
+        raise ConfigError(str(error)) from None
+    return Config(
+        name=environment.get("PROXY_NAME") or file.name or "larkcrank",
+        listen=_place("listen", environment.get("PROXY_LISTEN") or file.listen),
+        discovery=_place("discovery", environment.get("PROXY_DISCOVERY") or file.discovery),
+        seed=_seed(file.seed),
+        sockets=file.limits.sockets,
+        known=bytes(file.known),
+        site=site,
+    )
+
+
+def _place(key: str, text: str) -> tuple[str, int]:
+    try:
+        return host_port(text)
+    except ValueError as error:
+        raise ConfigError(f"{key}: {error}") from None
+
+
+def _seed(text: str) -> int:
+    if not text:
+        return Random().getrandbits(64)
+    try:
+        return int(text, 16)
+    except ValueError:
+        raise ConfigError(f"seed: {text!r} is no hexadecimal number") from None
--- /dev/null
+++ b/larkcrank/program/sidecar.py
@@ -0,0 +1,124 @@
+"""The sidecar's parts put together, its start and its end."""
+
+import asyncio
+import gc
+import signal
+from random import Random
+
+from larkcrank.config.sidecar import Config
+from larkcrank.core.balancer import Balancer
+from larkcrank.program.clock import Clock
+from larkcrank.program.counters import Counters
+from larkcrank.program.log import Log
+from larkcrank.protocol.discovery import Names
+from larkcrank.routing.clients import Clients
+from larkcrank.routing.discovery import Discovery
+from larkcrank.routing.driver import Driver
+from larkcrank.routing.servers import Servers
+from larkcrank.transport.descriptors import Descriptors
+from larkcrank.transport.listener import Listener
+from larkcrank.transport.pool import Pool
+
+ACCEPT_ON_S = 0.55  # after SIGTERM new connections go on coming for up to 0.4 s
+LEAVE_IDLE_S = 0.4  # and clients go on using those that they have
+LOOK_S = 0.05
+
+
+class Sidecar:
+    def __init__(self, config: Config, log: Log) -> None:
+        self.log = log
+        self.counters = Counters()
+        self._clock = Clock()
+        self._rng = Random(config.seed)
+        site = config.site
+        self._descriptors = Descriptors(config.sockets)
+        self._pool = Pool(self._descriptors, site.keepalive_ms)
+        servers = Servers(
+            self._pool,
+            self._descriptors,
+            site.connect_timeout_ms,
+            site.load_fields,
+            self._clock,
+            self.counters,
+            log.failure,
+        )
+        self._discovery = Discovery(
+            config.discovery,
+            self._descriptors,
+            Names(list(site.zones), list(site.kinds)),
+            site.connect_timeout_ms,
+            not site.decisions.must_ask,
+            Random(self._rng.getrandbits(64)),
+            self.counters,
+            log.failure,
+        )
+        balancer = Balancer(site.decisions, Random(self._rng.getrandbits(64)), self._clock())
+        self._driver = Driver(
+            balancer,
+            self._clock,
+            servers,
+            self._discovery,
+            site.max_open,
+            site.grace_ms,
+            self.counters,
+            log,
+        )
+        self._clients = Clients(site.decisions, self._driver, self._descriptors, self.counters, log.failure)
+        self._listener = Listener(config.listen, self._descriptors, self._clients.accept)
+        self._always_watch = not site.decisions.must_ask
+        self._known = config.known
+        self._ending = asyncio.Event()
+
+    @property
+    def place(self) -> tuple[str, int]:
+        return self._listener.place
+
+    def start(self) -> None:
+        """Serve from now on, by the list as last held until discovery answers."""
+        known = self._discovery.start_from(self._known) if self._known else None
+        if known is not None:
+            self._driver.told(known, cached=True)
+        if self._always_watch:
+            self._discovery.watch()
+        self._listener.start()
+        host, port = self.place
+        self.log.event("ready", listen=f"{host}:{port}", known=len(known.endpoints) if known else 0)
+
+    def end(self) -> None:
+        """Ask for the planned end."""
+        self._ending.set()
+
+    def show_counters(self) -> None:
+        self.log.event("counters", **self.counters.shown())
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.end)
+        loop.add_signal_handler(signal.SIGUSR1, self.show_counters)
+        self.start()
+        gc.collect()
+        gc.freeze()  # what lives as long as the program need not be looked through again
+        await self._ending.wait()
+        await self._wind_down()
+        self.show_counters()
+
+    async def _wind_down(self) -> None:
+        """Serve on while clients still come, then answer what was taken, then go."""
+        self.log.event("winding_down", connections=self._clients.open)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self._clients.wind_down()
+        while (spent := loop.time() - began) < ACCEPT_ON_S:
+            await asyncio.sleep(LOOK_S)
+            if spent >= LEAVE_IDLE_S:
+                self._clients.close_idle()  # a request that crosses this finds the listener still open
+        self._listener.close()
+        while True:
+            await asyncio.sleep(LOOK_S)  # what the last accept brought is read first
+            if not self._clients.close_idle():
+                break
+        await self._clients.finished()
+        self._discovery.close()
+        self._pool.close()
+        self.log.event("ended")
--- /dev/null
+++ b/larkcrank/protocol/platform.py
@@ -0,0 +1,106 @@
+"""The platform's own headers and paths: what a request asks for and how an attempt ended."""
+
+import math
+from dataclasses import dataclass
+
+from larkcrank.core.interface import Result
+from larkcrank.protocol import http1
+
+READY_PATH = b"/health/ready"
+LIVE_PATH = b"/health/live"
+LOAD_PATH = b"/stats"
+
+_ID = b"req-id"
+_KIND = b"req-kind"
+_DEADLINE = b"req-deadline"
+_RETRY = b"req-retry"
+_OWNER = b"req-owner"
+_KEY = b"idempotency-key"
+_DECLINED = b"srv-declined"
+_LOAD = b"srv-load"
+_MAX_WAIT_S = 3600.0
+_REPLACED = frozenset((_DEADLINE,))
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """What a decision needs of a request."""
+
+    id: str  # for the log
+    kind: str
+    wait_ms: float | None  # how long the client waits, where it says so
+    is_retry: bool
+    has_key: bool
+    owner: str
+
+
+def is_ready_check(request: http1.Request) -> bool:
+    return request.method == b"GET" and request.target.partition(b"?")[0] == READY_PATH
+
+
+def first_part(target: bytes) -> str:
+    return target.partition(b"?")[0].lstrip(b"/").partition(b"/")[0].decode("latin-1")
+
+
+def read_call(request: http1.Request) -> Call:
+    """Raises `MessageError` where a field is missing or no value of its kind."""
+    fields = request.fields
+    number = fields.one(_ID)
+    if not number:
+        raise http1.MessageError(400, "no Req-Id")
+    kind = fields.one(_KIND)
+    return Call(
+        id=number.decode("latin-1"),
+        kind=first_part(request.target) if kind is None else kind.decode("latin-1"),
+        wait_ms=_wait_ms(fields.one(_DEADLINE)),
+        is_retry=fields.one(_RETRY) == b"1",
+        has_key=bool(fields.one(_KEY)),
+        owner=(fields.one(_OWNER) or b"").decode("latin-1"),
+    )
+
+
+def _wait_ms(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        seconds = float(value)
+    except ValueError:
+        seconds = math.nan
+    if not 0.0 <= seconds <= _MAX_WAIT_S:
+        raise http1.MessageError(400, "Req-Deadline is no number of seconds")
+    return seconds * 1000.0
+
+
+def request_to_endpoint(request: http1.Request, wait_ms: float) -> bytes:
+    """The request as it came, with the time that this hop waits."""
+    lines = [*request.fields.passed_on(but=_REPLACED), b"Req-Deadline: %.3f" % (max(wait_ms, 0.0) / 1000.0)]
+    return http1.request_bytes(request.method, request.target, lines, request.body)
+
+
+def result_of(head: http1.Response | http1.ResponseHead) -> Result:
+    if head.status == 200:
+        return Result.OK
+    if head.status in (503, 504) and b"1" in head.fields.all(_DECLINED):
+        return Result.REJECTED
+    return Result.ERROR
+
+
+def load_report(text: bytes, names: tuple[str, ...]) -> tuple[float, ...]:
+    """The values of a report `name=value,...` in the settings' order; empty where one is missing."""
+    found: dict[str, float] = {}
+    for part in text.decode("latin-1").split(","):
+        name, _, value = part.partition("=")
+        try:
+            found[name.strip()] = float(value)
+        except ValueError:
+            continue
+    return tuple(found[name] for name in names) if names and all(name in found for name in names) else ()
+
+
+def load_of(fields: http1.Fields, names: tuple[str, ...]) -> tuple[float, ...]:
+    found = fields.all(_LOAD) if names else []
+    return load_report(found[0], names) if found else ()
+
+
+def retry_after_line(wait_ms: float) -> bytes:
+    return b"Retry-After: %.3f" % (wait_ms / 1000.0)
--- /dev/null
+++ b/larkcrank/routing/discovery.py
@@ -0,0 +1,168 @@
+"""Discovery calls: the watch on the server list, and the whole list on demand."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+from larkcrank.protocol import discovery, http1
+from larkcrank.protocol.discovery import Listing, Names
+from larkcrank.transport.connection import Connection, ConnectionLostError, NoRoomError, connect
+from larkcrank.transport.descriptors import Descriptors
+
+WATCH_MS = 20000
+SLACK_MS = 2000.0  # a call not answered so long after its wait is not answered at all
+FETCH_TIMEOUT_MS = 6000.0
+AGAIN_S = (0.5, 8.0)  # between watches that fail, where nobody else decides when to ask
+MAX_LIST = 4 << 20
+
+
+class Tally(Protocol):
+    """What discovery counts."""
+
+    lists: int
+    discovery_calls: int
+    discovery_failures: int
+    crashed: int
+
+
+class Discovery:
+    """Asks, and tells the list's changes in order. With `always` a failed watch begins again by itself."""
+
+    def __init__(
+        self,
+        place: tuple[str, int],
+        descriptors: Descriptors,
+        names: Names,
+        connect_timeout_ms: float,
+        always: bool,
+        rng: Random,
+        tally: Tally,
+        failed: Callable[[str, BaseException], None],
+    ) -> None:
+        self._place = place
+        self._descriptors = descriptors
+        self._names = names
+        self._connect_timeout_ms = connect_timeout_ms
+        self._always = always
+        self._rng = rng
+        self._tally = tally
+        self._failed = failed
+        self._generation: int | None = None
+        self._watch: asyncio.Task[None] | None = None
+        self._fetch: asyncio.Task[None] | None = None
+        self.on_list: Callable[[Listing], None] = lambda _: None
+        self.on_failure: Callable[[str], None] = lambda _: None
+
+    def start_from(self, text: bytes) -> Listing | None:
+        """The list as last held; None where there is none that can be read."""
+        try:
+            listing = discovery.parse(text, self._names)
+        except discovery.ListError:
+            return None
+        self._generation = listing.generation
+        return listing
+
+    def watch(self, on: bool = True) -> None:
+        """Watch from now on. While a watch is under way another call would tell nothing more."""
+        if not on:
+            if self._watch is not None:
+                self._watch.cancel()
+        elif self._watch is None or self._watch.done():
+            self._watch = asyncio.get_running_loop().create_task(self._keep_watching())
+
+    def fetch(self) -> None:
+        if self._fetch is None or self._fetch.done():
+            self._fetch = asyncio.get_running_loop().create_task(self._fetch_once())
+
+    def close(self) -> None:
+        for task in (self._watch, self._fetch):
+            if task is not None:
+                task.cancel()
+
+    async def _keep_watching(self) -> None:
+        line = _Line(self._place, self._descriptors, self._connect_timeout_ms)
+        wait_s = AGAIN_S[0]
+        try:
+            while True:
+                if await self._ask(line, WATCH_MS):
+                    wait_s = AGAIN_S[0]
+                elif not self._always:
+                    return
+                else:
+                    await asyncio.sleep(wait_s * (0.5 + self._rng.random()))
+                    wait_s = min(2 * wait_s, AGAIN_S[1])
+        finally:
+            line.close()
+
+    async def _fetch_once(self) -> None:
+        line = _Line(self._place, self._descriptors, self._connect_timeout_ms)
+        try:
+            await self._ask(line, None)
+        finally:
+            line.close()
+
+    async def _ask(self, line: "_Line", wait_ms: int | None) -> bool:
+        """One call; False where it failed, which has then been told."""
+        self._tally.discovery_calls += 1
+        target, timeout = discovery.LIST_TARGET, FETCH_TIMEOUT_MS
+        if wait_ms is not None and self._generation is not None:
+            target, timeout = discovery.watch_target(self._generation, wait_ms), wait_ms + SLACK_MS
+        try:
+            async with asyncio.timeout(timeout / 1000.0):
+                response = await line.get(target)
+            if response.status != 200:
+                raise ConnectionLostError(f"answered {response.status}")
+            listing = discovery.parse(response.body, self._names)
+        except (
+            ConnectionLostError,
+            NoRoomError,
+            TimeoutError,
+            http1.MessageError,
+            discovery.ListError,
+        ) as error:
+            line.close()
+            self._tally.discovery_failures += 1
+            self.on_failure(str(error) or type(error).__name__)
+            return False
+        except Exception as error:
+            line.close()
+            self._tally.crashed += 1
+            self._failed("discovery", error)
+            self.on_failure(str(error))
+            return False
+        if target == discovery.LIST_TARGET and not listing.whole:
+            listing = Listing(listing.generation, True, listing.endpoints, listing.places)
+        self._generation = listing.generation
+        self._tally.lists += 1
+        self.on_list(listing)
+        return True
+
+
+class _Line:
+    """A connection to discovery, kept between calls."""
+
+    def __init__(self, place: tuple[str, int], descriptors: Descriptors, connect_timeout_ms: float) -> None:
+        self._place, self._descriptors, self._connect_timeout_ms = place, descriptors, connect_timeout_ms
+        self._connection: Connection | None = None
+
+    async def get(self, target: bytes) -> http1.Response:
+        connection = self._connection
+        if connection is None or not connection.is_quiet():
+            self.close()
+            connection = await connect(self._place, self._descriptors, self._connect_timeout_ms)
+            self._connection = connection
+        host = b"Host: %s:%d" % (self._place[0].encode(), self._place[1])
+        await connection.write(http1.request_bytes(b"GET", target, (host,)))
+        parser = http1.ResponseParser(max_body=MAX_LIST)
+        while not parser.complete:
+            parser.feed(await connection.read())
+        response = parser.response()
+        if not response.keep_alive:
+            self.close()
+        return response
+
+    def close(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
--- /dev/null
+++ b/larkcrank/routing/servers.py
@@ -0,0 +1,288 @@
+"""The server side: attempts at endpoints, probes, and the connections they use."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from larkcrank.core.interface import Address, Result, State
+from larkcrank.protocol import http1, platform
+from larkcrank.protocol.discovery import Listing
+from larkcrank.routing.exchange import Exchange
+from larkcrank.transport.connection import Connecting, Connection, ConnectionLostError, NoRoomError
+from larkcrank.transport.descriptors import Descriptors
+from larkcrank.transport.pool import Pool
+
+PROBE_TIMEOUT_TIMES = 2.0  # of the connect time-out: a probe's answer is made beside the queue
+
+
+class Tally(Protocol):
+    """What the server side counts."""
+
+    sends: int
+    connects: int
+    reuses: int
+    crashed: int
+
+
+class Attempt:
+    """One attempt. `end` is the one place where it ends, its timer stops and its connection goes."""
+
+    __slots__ = (
+        "_report",
+        "address",
+        "connection",
+        "ended",
+        "exchange",
+        "index",
+        "started",
+        "timer",
+        "written",
+    )
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        index: int,
+        address: Address,
+        started: float,
+        report: "Callable[[Attempt, Result, tuple[float, ...]], None]",
+    ) -> None:
+        self.exchange, self.index, self.address, self.started = exchange, index, address, started
+        self.connection: Connection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.written = False
+        self.ended = False
+        self._report = report
+
+    def end(self, result: Result, load: tuple[float, ...] = ()) -> None:
+        if self.ended:
+            return
+        self.ended = True
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.connection is not None:  # an attempt is given up by closing its connection
+            self.connection.close()
+            self.connection = None
+        self._report(self, result, load)
+
+
+class Servers:
+    """Carries out attempts and says how each ended."""
+
+    def __init__(
+        self,
+        pool: Pool,
+        descriptors: Descriptors,
+        connect_timeout_ms: float,
+        load_fields: tuple[str, ...],
+        now: Callable[[], float],
+        tally: Tally,
+        failed: Callable[[str, BaseException], None],
+    ) -> None:
+        self._pool = pool
+        self._descriptors = descriptors
+        self._connect_timeout_ms = connect_timeout_ms
+        self._load_fields = load_fields
+        self._now = now
+        self._tally = tally
+        self._failed = failed
+        self._loop = asyncio.get_running_loop()
+        self._places: dict[Address, tuple[str, int]] = {}
+        self._started: dict[Address, float] = {}
+        self._ready: set[Address] = set()
+        self._attempts: dict[tuple[int, int], Attempt] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.on_outcome: Callable[[Attempt, Result, tuple[float, ...]], None] = lambda *_: None
+        self.on_stream: Callable[[Attempt], None] = lambda _: None
+        self.on_probe: Callable[[Address, Result, float, tuple[float, ...]], None] = lambda *_: None
+
+    @property
+    def under_way(self) -> int:
+        return len(self._attempts)
+
+    def learn(self, listing: Listing) -> None:
+        """Follow the list: where servers are, and which still take work."""
+        if listing.whole:
+            named = {endpoint.address for endpoint in listing.endpoints}
+            for address in self._ready - named:
+                self._retire(address)
+        for endpoint in listing.endpoints:
+            address, place = endpoint.address, listing.places.get(endpoint.address)
+            if endpoint.state is not State.READY:
+                self._retire(address)
+                continue
+            if self._places.get(address, place) != place or (
+                self._started.get(address, endpoint.started_at) != endpoint.started_at
+            ):
+                self._pool.close_to(address)  # another process: the old one's connections lead nowhere
+            self._ready.add(address)
+            self._started[address] = endpoint.started_at
+            if place is not None:
+                self._places[address] = place
+
+    def _retire(self, address: Address) -> None:
+        self._ready.discard(address)
+        self._pool.close_to(address)
+
+    def start(self, exchange: Exchange, index: int, address: Address, stop_at: float) -> None:
+        now = self._now()
+        attempt = Attempt(exchange, index, address, now, self._ended)
+        self._attempts[exchange.id, index] = attempt
+        if exchange.closed or address not in self._places or stop_at <= now:
+            attempt.end(Result.NOT_SENT)
+            return
+        attempt.timer = self._loop.call_later((stop_at - now) / 1000.0, self._time_out, attempt)
+        self._keep(self._run(attempt, stop_at))
+
+    def cancel(self, number: int, index: int) -> None:
+        attempt = self._attempts.get((number, index))
+        if attempt is not None:
+            attempt.end(Result.CANCELLED)
+
+    def close_idle(self, address: Address) -> None:
+        self._pool.close_to(address)
+
+    def probe(self, address: Address) -> None:
+        self._keep(self._probe(address))
+
+    def _keep(self, work: "asyncio._CoroutineLike[None]") -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _ended(self, attempt: Attempt, result: Result, load: tuple[float, ...]) -> None:
+        self._attempts.pop((attempt.exchange.id, attempt.index), None)
+        if result in (Result.RESET, Result.CONNECT_FAILED):
+            self._pool.close_to(attempt.address)  # what ended one connection has likely ended them all
+        self.on_outcome(attempt, result, load)
+
+    @staticmethod
+    def _time_out(attempt: Attempt) -> None:
+        attempt.end(Result.TIMEOUT if attempt.written else Result.CONNECT_FAILED)
+
+    async def _run(self, attempt: Attempt, stop_at: float) -> None:
+        try:
+            await self._attempt(attempt, stop_at)
+        except NoRoomError:
+            attempt.end(Result.NOT_SENT)
+        except ConnectionLostError:
+            # Broken before the last byte was handed over, it never ran; after that it may have.
+            attempt.end(Result.RESET if attempt.written else Result.CONNECT_FAILED)
+        except http1.MessageError:
+            attempt.end(Result.ERROR if attempt.written else Result.NOT_SENT)
+        except Exception as error:
+            self._tally.crashed += 1
+            self._failed("attempt", error)
+            attempt.end(Result.ERROR if attempt.written else Result.NOT_SENT)
+
+    async def _attempt(self, attempt: Attempt, stop_at: float) -> None:
+        if attempt.ended:
+            return
+        connection = await self._connection(attempt)
+        if attempt.ended:
+            return
+        exchange, address = attempt.exchange, attempt.address
+        if exchange.closed or address not in self._ready:
+            # Meanwhile the request got its answer, or the server left: nothing new goes out.
+            attempt.end(Result.NOT_SENT)
+            return
+        self._tally.sends += 1
+        await connection.write(platform.request_to_endpoint(exchange.request, stop_at - self._now()))
+        if attempt.ended:
+            return
+        attempt.written = True
+        exchange.written += 1
+        parser = http1.ResponseParser()
+        while parser.head is None:
+            parser.feed(await connection.read())
+        result = platform.result_of(parser.head)
+        if exchange.streaming and result is Result.OK:
+            await self._pass_stream(attempt, connection, parser)
+            return
+        while not parser.complete:
+            parser.feed(await connection.read())
+        if attempt.ended:
+            return
+        response = parser.response()
+        if response.keep_alive:
+            attempt.connection = None
+            self._pool.put(address, connection)
+        if result is Result.OK:
+            exchange.answer(200, response.fields.passed_on(), response.body)
+        attempt.end(result, platform.load_of(response.fields, self._load_fields))
+
+    async def _connection(self, attempt: Attempt) -> Connection:
+        place = self._places[attempt.address]
+        pooled = self._pool.take(attempt.address, place)
+        if pooled is not None:
+            self._tally.reuses += 1
+            attempt.connection = pooled
+            return pooled
+        self._tally.connects += 1
+        connecting = Connecting(place, self._descriptors, for_attempt=True)
+        attempt.connection = connecting.connection
+        return await connecting.wait(self._connect_timeout_ms)
+
+    async def _pass_stream(
+        self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser
+    ) -> None:
+        """From its first part on the answer is the client's: neither deadline nor time-out runs."""
+        exchange, head = attempt.exchange, parser.head
+        if attempt.ended or head is None or not exchange.begin_stream(200, head.fields.passed_on()):
+            attempt.end(Result.CANCELLED)
+            return
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        self.on_stream(attempt)
+        try:
+            while True:
+                await exchange.add_part(parser.take_body())
+                if exchange.broken:  # the client has gone
+                    attempt.end(Result.CANCELLED)
+                    return
+                if parser.complete:
+                    break
+                parser.feed(await connection.read())
+        except (ConnectionLostError, http1.MessageError):
+            exchange.end_stream(whole=False)
+            attempt.end(Result.RESET)
+            return
+        exchange.end_stream(whole=True)
+        if head.keep_alive and not parser.left_over:
+            attempt.connection = None
+            self._pool.put(attempt.address, connection)
+        attempt.end(Result.OK, platform.load_of(head.fields, self._load_fields))
+
+    async def _probe(self, address: Address) -> None:
+        started, result = self._now(), Result.NOT_SENT
+        load: tuple[float, ...] = ()
+        target = platform.LOAD_PATH if self._load_fields else platform.LIVE_PATH
+        place = self._places.get(address)
+        connection: Connection | None = None
+        try:
+            if place is not None:
+                async with asyncio.timeout(PROBE_TIMEOUT_TIMES * self._connect_timeout_ms / 1000.0):
+                    result = Result.CONNECT_FAILED
+                    connecting = Connecting(place, self._descriptors, for_attempt=True)
+                    connection = connecting.connection
+                    await connecting.wait(self._connect_timeout_ms)
+                    await connection.write(http1.request_bytes(b"GET", target, (b"Host: " + address,)))
+                    result = Result.RESET
+                    parser = http1.ResponseParser()
+                    while not parser.complete:
+                        parser.feed(await connection.read())
+                    response = parser.response()
+                    result = platform.result_of(response)
+                    load = platform.load_report(response.body, self._load_fields)
+        except TimeoutError:
+            result = Result.TIMEOUT
+        except NoRoomError:
+            result = Result.NOT_SENT
+        except ConnectionLostError:
+            pass
+        except http1.MessageError:
+            result = Result.ERROR
+        finally:
+            if connection is not None:
+                connection.close()
+        self.on_probe(address, result, self._now() - started, load)
--- a/larkcrank/simwire/host.py
+++ b/larkcrank/simwire/host.py
@@ -5,8 +5,9 @@
 import traceback
 from typing import BinaryIO, TextIO
 
+from larkcrank.config import settings
 from larkcrank.core.balancer import Balancer
-from larkcrank.simwire import codec, settings
+from larkcrank.simwire import codec
 
 
 class Host:
@@ -29,7 +30,7 @@
                         raise codec.WireError(
                             f"{error} (settings of instance {instance} at byte {record.offset})"
                         ) from None
-                    self._instances[instance] = Balancer(parsed, random.Random(record.seed), now)
+                    self._instances[instance] = Balancer(parsed.decisions, random.Random(record.seed), now)
                     continue
                 case codec.Stop():
                     self._instances.pop(instance, None)
--- /dev/null
+++ b/larkcrank/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: the listener, connections, pools, and the count of descriptors."""
--- /dev/null
+++ b/larkcrank/transport/connection.py
@@ -0,0 +1,149 @@
+"""One TCP connection with its place among the descriptors."""
+
+import asyncio
+import errno
+import socket
+from collections.abc import Callable
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from larkcrank.transport.descriptors import Descriptors
+
+CHUNK = 64 * 1024
+
+__all__ = ["Connection", "ConnectionLostError", "connect"]
+
+
+class ConnectionLostError(Exception):
+    """The connection ended or broke."""
+
+
+class Connection:
+    """An IOStream with at most one read pending, which may stand while nobody waits for it.
+
+    IOStream notices that the other side has closed only while a read is pending, so an idle
+    connection keeps one: its result is the first bytes of what comes next.
+    """
+
+    def __init__(self, stream: IOStream, descriptors: Descriptors) -> None:
+        self.stream = stream
+        self._descriptors = descriptors
+        self._reading: asyncio.Future[bytes] | None = None
+        self._closed = False
+        self.place: tuple[str, int] | None = None  # where it leads
+        self.used = False  # it has carried a request
+
+    @property
+    def closed(self) -> bool:
+        return self._closed or self.stream.closed()
+
+    def start_read(self) -> "asyncio.Future[bytes]":
+        if self._reading is None:
+            try:
+                self._reading = asyncio.ensure_future(self.stream.read_bytes(CHUNK, partial=True))
+            except StreamClosedError:
+                self._reading = asyncio.get_running_loop().create_future()
+                self._reading.set_exception(StreamClosedError())
+            self._reading.add_done_callback(_seen)
+        return self._reading
+
+    async def read(self) -> bytes:
+        """Some bytes. Raises `ConnectionLostError` at the end."""
+        pending = self.start_read()
+        try:
+            return await pending
+        except StreamClosedError as error:
+            raise ConnectionLostError(str(error.real_error or "closed")) from None
+        finally:
+            self._reading = None
+
+    async def write(self, data: bytes) -> None:
+        """Return when the kernel has taken the last byte. Raises `ConnectionLostError` before that."""
+        try:
+            await self.stream.write(data)
+        except StreamClosedError as error:
+            raise ConnectionLostError(str(error.real_error or "closed")) from None
+
+    def is_quiet(self) -> bool:
+        """Nothing has come that was not read, not even an end."""
+        if self.closed or (self._reading is not None and self._reading.done()):
+            return False
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            pass
+        return False
+
+    def on_close(self, call: Callable[[], None]) -> None:
+        self.stream.set_close_callback(call)
+
+    def close(self) -> None:
+        """Close at once; the one place where the descriptor is given back."""
+        if self._closed:
+            return
+        self._closed = True
+        self.stream.set_close_callback(None)
+        self.stream.close()
+        self._descriptors.give_back()
+
+    def stop_sending(self) -> None:
+        """Tell the other side that nothing more comes."""
+        try:
+            self.stream.socket.shutdown(socket.SHUT_WR)
+        except (OSError, AttributeError):
+            return  # it has closed meanwhile
+
+
+def _seen(future: "asyncio.Future[bytes]") -> None:
+    """A read that nobody waits for may end in an error; that is no defect."""
+    if not future.cancelled():
+        future.exception()
+
+
+def wrap(sock: socket.socket, descriptors: Descriptors) -> Connection:
+    """A connection on a connected socket whose place was taken already."""
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return Connection(IOStream(sock, read_chunk_size=CHUNK), descriptors)
+
+
+class NoRoomError(Exception):
+    """All descriptors are in use."""
+
+
+class Connecting:
+    """A connection on its way up. `close` gives it up; whoever waits gets `ConnectionLostError`."""
+
+    def __init__(self, place: tuple[str, int], descriptors: Descriptors, for_attempt: bool) -> None:
+        if not descriptors.take(for_attempt):
+            raise NoRoomError
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            descriptors.give_back()
+            if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                raise NoRoomError from None
+            raise ConnectionLostError(str(error)) from None
+        self.connection = wrap(sock, descriptors)
+        self.connection.place = place
+        self._place = place
+
+    async def wait(self, timeout_ms: float) -> Connection:
+        connection = self.connection
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(timeout_ms / 1000.0, connection.close)
+        try:
+            await connection.stream.connect(self._place)
+        except (StreamClosedError, OSError) as error:
+            connection.close()
+            real = error.real_error if isinstance(error, StreamClosedError) else error
+            raise ConnectionLostError(str(real or "not connected")) from None
+        finally:
+            timer.cancel()
+        return connection
+
+
+async def connect(place: tuple[str, int], descriptors: Descriptors, timeout_ms: float) -> Connection:
+    return await Connecting(place, descriptors, for_attempt=False).wait(timeout_ms)
--- a/tests/test_simwire.py
+++ b/tests/test_simwire.py
@@ -14,9 +14,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from larkcrank.config import settings
 from larkcrank.core import interface as api
 from larkcrank.core.balancer import Balancer
-from larkcrank.simwire import codec, settings
+from larkcrank.simwire import codec
 from larkcrank.simwire.host import Host, serve
 from tests import frames as f
 
@@ -212,7 +213,9 @@
     "weights, listed", [("nominal", True), ("rough", True), ("live", False), ("silent", False)]
 )
 def test_only_nominal_sizes_are_taken_for_sizes(weights: str, listed: bool) -> None:
-    assert settings.parse(json.dumps(f.CONFIG | {"weights": weights}).encode()).listed_sizes is listed
+    assert (
+        settings.parse(json.dumps(f.CONFIG | {"weights": weights}).encode()).decisions.listed_sizes is listed
+    )
 
 
 def test_deltas_change_the_list_and_a_full_one_replaces_it() -> None:
@@ -341,7 +344,7 @@
     config["news"] = {"deep": [1]}
     config["grades"][0]["colour"] = "red"
     config["customers"] = [{"name": "a", "portion": 0.7, "quota-per-s": 3.0}]
-    parsed = settings.parse(json.dumps(config).encode())
+    parsed = settings.parse(json.dumps(config).encode()).decisions
     assert [c.effect for c in parsed.classes] == [api.Effect.SAFE, api.Effect.UNSAFE]
     assert parsed.classes[0].group is api.Group.ALL and parsed.classes[0].late_worth == 0.0
     assert (parsed.max_attempts, parsed.retry_after, parsed.must_ask) == (5, True, True)
