Tests of the parsers, headers, lists and configuration; body limits hold at every split

Seen on rereading: a chunked body's size was judged after the step that read it, so one feed could say 400 where two said 413 (http1._Body.take). The limit is now judged where the chunk's size is read. A client's connection counts as idle only when no answer is being written on it either (clients._Visit.is_idle).

--- a/larkcrank/protocol/http1.py
+++ b/larkcrank/protocol/http1.py
@@ -145,11 +145,14 @@
 
 
 class _Body:
-    """Takes a body out of the buffer as its framing tells."""
+    """Takes a body out of the buffer as its framing tells. `too_large` is what a longer one is."""
 
-    __slots__ = ("_chunked", "_left", "_state", "_trailer", "done")
+    __slots__ = ("_chunked", "_left", "_room", "_state", "_too_large", "_trailer", "done")
 
-    def __init__(self, length: int | None) -> None:
+    def __init__(self, length: int | None, limit: float, too_large: int) -> None:
+        if length is not None and length > limit:
+            raise MessageError(too_large, "body too large")
+        self._room, self._too_large = limit, too_large
         self._chunked = length is None
         self._left = length or 0  # of the body, or of the chunk under way
         self._state = "size"  # of a chunked body: size, data, end, trailer
@@ -190,6 +193,9 @@
             if match is None:
                 raise MessageError(400, "malformed chunk size")
             self._left = int(match[1], 16)
+            self._room -= self._left
+            if self._room < 0:
+                raise MessageError(self._too_large, "body too large")
             self._state = "data" if self._left else "trailer"
         elif self._state == "end":
             if line:
@@ -244,7 +250,7 @@
         self._max_body = max_body
         self._buffer = bytearray()
         self._head: tuple[bytes, bytes, Fields, bool] | None = None
-        self._framing = _Body(0)
+        self._framing = _Body(0, 0, 0)
         self._body = bytearray()
         self.wants_continue = False  # the client waits for word before it sends the body
 
@@ -266,8 +272,6 @@
                 return None
             self._head = self._read_head(lines)
         self._framing.take(self._buffer, self._body)
-        if len(self._body) > self._max_body:
-            raise MessageError(413, "body too large")
         if not self._framing.done:
             return None
         method, target, fields, keep_alive = self._head
@@ -285,23 +289,24 @@
         if len(fields.all(b"host")) != 1 and match[4] != b"0":
             raise MessageError(400, "not one Host header")
         length = None if _is_chunked(fields) else _length(fields) or 0
-        if length is not None and length > self._max_body:
-            raise MessageError(413, "body too large")
+        self._framing = _Body(length, self._max_body, 413)
         expected = fields.list(b"expect")
         if expected not in ([], [b"100-continue"]):
             raise MessageError(417, "unknown expectation")
         self.wants_continue = bool(expected) and length != 0
-        self._framing = _Body(length)
         return match[1], match[2], fields, keep_alive
 
 
 class ResponseParser:
-    """One response out of the bytes of a connection. Its end must show in its framing."""
+    """One response out of the bytes of a connection. Its end must show in its framing.
 
-    def __init__(self, max_body: int = MAX_BODY) -> None:
+    A stream has no largest body: whoever passes it on takes it in parts.
+    """
+
+    def __init__(self, max_body: float = MAX_BODY) -> None:
         self._max_body = max_body
         self._buffer = bytearray()
-        self._framing = _Body(0)
+        self._framing = _Body(0, 0, 0)
         self._body = bytearray()
         self.head: ResponseHead | None = None
 
@@ -322,8 +327,6 @@
                 return
             self._read_head(lines)
         self._framing.take(self._buffer, self._body)
-        if len(self._body) > self._max_body:
-            raise MessageError(502, "body too large")
 
     def take_body(self) -> bytes:
         """What has come of the body since the last call."""
@@ -356,9 +359,7 @@
             length = _length(fields)
             if length is None:  # ended by the connection's end: nothing tells a whole one from a broken one
                 raise MessageError(502, "response without a length")
-            if length > self._max_body:
-                raise MessageError(502, "body too large")
-        self._framing = _Body(length)
+        self._framing = _Body(length, self._max_body, 502)
         self.head = ResponseHead(status, fields, keep_alive)
 
 
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -126,6 +126,13 @@
 
     async def _handle(self, visit: "_Visit", request: http1.Request) -> bool:
         """Answer one request; False where the connection ends with it."""
+        visit.busy = True
+        try:
+            return await self._reply(visit, request)
+        finally:
+            visit.busy = False
+
+    async def _reply(self, visit: "_Visit", request: http1.Request) -> bool:
         if platform.is_ready_check(request):
             status = 503 if self._closing else 200
             return await self._write(visit, request, status, (), b"")
@@ -137,14 +144,12 @@
         if self._desk.is_full():
             self._tally.turned_away_full += 1
             return await self._write(visit, request, 503, (), b"too many requests in hand")
-        visit.exchange = exchange
         try:
             self._desk.take(exchange)
             return await self._await_answer(visit, request, exchange)
         finally:
             if exchange.leave():  # it ends here without an answer: whatever the reason, tell
                 self._desk.client_gone(exchange)
-            visit.exchange = None
 
     async def _await_answer(self, visit: "_Visit", request: http1.Request, exchange: Exchange) -> bool:
         connection, first = visit.connection, exchange.first()
@@ -231,14 +236,14 @@
 class _Visit:
     """One of the application's connections."""
 
-    __slots__ = ("connection", "exchange", "parser", "served", "task")
+    __slots__ = ("busy", "connection", "parser", "served", "task")
 
     def __init__(self, connection: Connection) -> None:
         self.connection = connection
         self.parser = http1.RequestParser()
-        self.exchange: Exchange | None = None
+        self.busy = False  # from a request's last byte in to its answer's last byte out
         self.served = False
         self.task: asyncio.Task[None] | None = None
 
     def is_idle(self) -> bool:
-        return self.exchange is None and not self.parser.begun and self.connection.is_quiet()
+        return not self.busy and not self.parser.begun and self.connection.is_quiet()
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -1,6 +1,7 @@
 """The server side: attempts at endpoints, probes, and the connections they use."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -192,7 +193,7 @@
             return
         attempt.written = True
         exchange.written += 1
-        parser = http1.ResponseParser()
+        parser = http1.ResponseParser(math.inf if exchange.streaming else http1.MAX_BODY)
         while parser.head is None:
             parser.feed(await connection.read())
         result = platform.result_of(parser.head)
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -3,7 +3,6 @@
 import asyncio
 import errno
 import socket
-from collections.abc import Callable
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -11,8 +10,6 @@
 
 CHUNK = 64 * 1024
 
-__all__ = ["Connection", "ConnectionLostError", "connect"]
-
 
 class ConnectionLostError(Exception):
     """The connection ended or broke."""
@@ -31,7 +28,6 @@
         self._reading: asyncio.Future[bytes] | None = None
         self._closed = False
         self.place: tuple[str, int] | None = None  # where it leads
-        self.used = False  # it has carried a request
 
     @property
     def closed(self) -> bool:
@@ -76,15 +72,11 @@
             pass
         return False
 
-    def on_close(self, call: Callable[[], None]) -> None:
-        self.stream.set_close_callback(call)
-
     def close(self) -> None:
         """Close at once; the one place where the descriptor is given back."""
         if self._closed:
             return
         self._closed = True
-        self.stream.set_close_callback(None)
         self.stream.close()
         self._descriptors.give_back()
 
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,209 @@
+"""The platform's headers, the discovery texts and the configuration."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from larkcrank.config import sidecar as config
+from larkcrank.core.interface import Result, State
+from larkcrank.protocol import discovery, http1, platform
+from tests.frames import CONFIG
+
+
+def request(*lines: bytes, target: bytes = b"/proof/7?page=2", body: bytes = b"") -> http1.Request:
+    parser = http1.RequestParser()
+    parser.feed(http1.request_bytes(b"POST", target, (b"Host: backend.local", *lines), body))
+    found = parser.next()
+    assert found is not None
+    return found
+
+
+def response(status: int, *lines: bytes) -> http1.Response:
+    parser = http1.ResponseParser()
+    parser.feed(http1.response_bytes(status, lines, b"body"))
+    return parser.response()
+
+
+def test_a_call_is_read_from_its_headers() -> None:
+    call = platform.read_call(
+        request(
+            b"Req-Id: 9b1f",
+            b"Req-Kind: proof",
+            b"Req-Deadline: 0.480",
+            b"Req-Retry: 1",
+            b"Idempotency-Key: 5c",
+        )
+    )
+    assert (call.id, call.kind, call.wait_ms, call.is_retry, call.has_key) == (
+        "9b1f",
+        "proof",
+        480.0,
+        True,
+        True,
+    )
+
+
+def test_the_class_may_stand_in_the_path_alone() -> None:
+    call = platform.read_call(request(b"Req-Id: 1"))
+    assert (call.kind, call.wait_ms, call.is_retry, call.has_key) == ("proof", None, False, False)
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        (),
+        (b"Req-Id: ",),
+        (b"Req-Id: 1", b"Req-Id: 2"),
+        (b"Req-Id: 1", b"Req-Deadline: soon"),
+        (b"Req-Id: 1", b"Req-Deadline: -1"),
+        (b"Req-Id: 1", b"Req-Deadline: nan"),
+        (b"Req-Id: 1", b"Req-Deadline: 1", b"Req-Deadline: 2"),
+    ],
+)
+def test_bad_headers_are_the_clients_fault(lines: tuple[bytes, ...]) -> None:
+    with pytest.raises(http1.MessageError) as caught:
+        platform.read_call(request(*lines))
+    assert caught.value.status == 400
+
+
+def test_a_request_goes_on_unchanged_with_the_time_of_this_hop() -> None:
+    came = request(
+        b"Req-Id: 9", b"Req-Deadline: 2.5", b"Idempotency-Key: 5c", b"Connection: close", body=b"ink"
+    )
+    text = platform.request_to_endpoint(came, 1234.5)
+    head, _, body = text.partition(b"\r\n\r\n")
+    assert head.split(b"\r\n") == [
+        b"POST /proof/7?page=2 HTTP/1.1",
+        b"Host: backend.local",
+        b"Req-Id: 9",
+        b"Idempotency-Key: 5c",
+        b"Req-Deadline: 1.234",
+        b"Content-Length: 3",
+    ]
+    assert body == b"ink"
+
+
+@pytest.mark.parametrize(
+    ("found", "result"),
+    [
+        (response(200), Result.OK),
+        (response(500), Result.ERROR),
+        (response(503), Result.ERROR),  # without the header it may have run
+        (response(503, b"Srv-Declined: 0"), Result.ERROR),
+        (response(503, b"Srv-Declined: 1"), Result.REJECTED),
+        (response(504, b"srv-declined: 1"), Result.REJECTED),
+        (response(500, b"Srv-Declined: 1"), Result.ERROR),
+        (response(404), Result.ERROR),
+    ],
+)
+def test_only_a_declined_answer_proves_that_nothing_ran(found: http1.Response, result: Result) -> None:
+    assert platform.result_of(found) is result
+
+
+def test_load_reports_come_in_the_order_of_the_settings() -> None:
+    assert platform.load_report(b"util=0.5, queue=3", ("queue", "util")) == (3.0, 0.5)
+    assert platform.load_report(b"util=0.5,queue=x", ("queue", "util")) == ()
+    assert platform.load_of(response(200, b"Srv-Load: queue=2").fields, ("queue",)) == (2.0,)
+    assert platform.load_of(response(200, b"Srv-Load: queue=2").fields, ()) == ()
+
+
+def listed(**changes: object) -> dict[str, object]:
+    return {
+        "instanceId": "s-5be2",
+        "hostPort": "10.1.0.18:8000",
+        "zone": "b",
+        "machineType": "m9",
+        "cell": 3,
+        "lifecycle": "Ready",
+        "weight": 1.5,
+        "startedAtMs": 17,
+    } | changes
+
+
+def parsed(*lines: dict[str, object], reset: bool = True) -> discovery.Listing:
+    text = json.dumps({"generation": 41, "reset": reset, "instances": lines}).encode()
+    return discovery.parse(text, discovery.Names(["a", "b"], ["m1"]))
+
+
+def test_a_list_is_read() -> None:
+    listing = parsed(listed(), listed(instanceId="s-2", lifecycle="Terminating", zone="c", weight=0))
+    first, second = listing.endpoints
+    assert (listing.generation, listing.whole) == (41, True)
+    assert (first.address, first.zone, first.kind, first.cell) == (b"s-5be2", 1, 1, 3)
+    assert (first.size, first.started_at, first.state) == (1.5, 17.0, State.READY)
+    assert (second.zone, second.size, second.state) == (2, 1.0, State.DRAINING)
+    assert listing.places[b"s-5be2"] == ("10.1.0.18", 8000)
+
+
+def test_a_server_that_is_gone_needs_no_address() -> None:
+    listing = parsed({"instanceId": "s-1", "lifecycle": "Gone"}, reset=False)
+    assert listing.endpoints[0].state is State.GONE and not listing.whole and not listing.places
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"",
+        b"[]",
+        b'{"generation":1}',
+        b'{"generation":1,"instances":[{"instanceId":"a","lifecycle":"Odd","hostPort":"a:1"}]}',
+        b'{"generation":1,"instances":[{"instanceId":"a","lifecycle":"Ready","hostPort":"a:0"}]}',
+        b'{"generation":1,"instances":[{"instanceId":"a","lifecycle":"Ready"}]}',
+    ],
+)
+def test_what_is_no_list_is_refused(text: bytes) -> None:
+    with pytest.raises(discovery.ListError):
+        discovery.parse(text, discovery.Names([], []))
+
+
+def text_of(**changes: object) -> bytes:
+    whole: dict[str, Any] = {
+        "name": "n3",
+        "listen": "127.0.0.1:8000",
+        "discovery": "127.0.0.1:8500",
+        "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"generation": 41, "reset": True, "instances": []},
+        "settings": CONFIG,
+    }
+    return json.dumps(whole | changes).encode()
+
+
+def test_the_configuration_is_read_and_the_environment_outranks_it() -> None:
+    found = config.parse(text_of(), {"PROXY_LISTEN": "127.0.0.9:80"})
+    assert (found.name, found.listen, found.discovery) == ("n3", ("127.0.0.9", 80), ("127.0.0.1", 8500))
+    assert (found.seed, found.sockets) == (0x8C1F, 1024)
+    assert json.loads(found.known)["generation"] == 41
+    assert found.site.decisions.max_attempts == 5 and found.site.connect_timeout_ms == 250.0
+
+
+def test_left_out_keys_have_defaults() -> None:
+    text = json.dumps({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": CONFIG}).encode()
+    found = config.parse(text, {})
+    assert (found.name, found.known, found.sockets) == ("larkcrank", b"", 1024)
+
+
+@pytest.mark.parametrize(
+    ("changes", "message"),
+    [
+        ({"listen": "nowhere"}, r"^listen: 'nowhere'"),
+        ({"discovery": "a:99999"}, r"^discovery: "),
+        ({"seed": "xyz"}, r"^seed: 'xyz'"),
+        ({"limits": {"sockets": 8}}, r"^limits\.sockets: 8"),
+        ({"limits": {"sockets": "many"}}, r"\$\.limits\.sockets"),
+        ({"settings": {"bounds": {"send-cap": 1}}}, r"grades|contract"),
+        ({"settings": CONFIG | {"bounds": {"send-cap": "five"}}}, r"\$\.bounds\.send-cap"),
+    ],
+)
+def test_messages_name_the_faulty_key(changes: dict[str, object], message: str) -> None:
+    with pytest.raises(config.ConfigError, match=message):
+        config.parse(text_of(**changes), {})
+
+
+def test_a_missing_file_is_named(tmp_path: Path) -> None:
+    with pytest.raises(config.ConfigError, match="PROXY_CONFIG: not set"):
+        config.load({})
+    with pytest.raises(config.ConfigError, match=r"absent\.json: No such file"):
+        config.load({"PROXY_CONFIG": str(tmp_path / "absent.json")})
