Clients and attempts each keep a share of the descriptors; the whole sidecar tested on loopback

Seen in a test with 64 descriptors: clients' connections filled every place, and a request on one of them was refused since no attempt found room (Descriptors.take let clients have all of it, attempts three quarters of nothing). Now each use has a largest share, answers end their connection while somebody waits for a place, and the listener looks again by itself. Ruled out: idle connections that are not given up (Pool and Clients gave theirs).

--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -100,10 +100,21 @@
         gc.collect()
         gc.freeze()  # what lives as long as the program need not be looked through again
         await self._ending.wait()
-        await self._wind_down()
+        await self.wind_down()
         self.show_counters()
+        self.log.event("ended")
+
+    def stop_listening(self) -> None:
+        """Take what the kernel has accepted, then nothing more."""
+        self._listener.close()
+
+    def close(self) -> None:
+        """Give back what a sidecar holds besides its clients' connections."""
+        self.stop_listening()
+        self._discovery.close()
+        self._pool.close()
 
-    async def _wind_down(self) -> None:
+    async def wind_down(self) -> None:
         """Serve on while clients still come, then answer what was taken, then go."""
         self.log.event("winding_down", connections=self._clients.open)
         loop = asyncio.get_running_loop()
@@ -113,12 +124,10 @@
             await asyncio.sleep(LOOK_S)
             if spent >= LEAVE_IDLE_S:
                 self._clients.close_idle()  # a request that crosses this finds the listener still open
-        self._listener.close()
+        self.stop_listening()
         while True:
             await asyncio.sleep(LOOK_S)  # what the last accept brought is read first
             if not self._clients.close_idle():
                 break
         await self._clients.finished()
-        self._discovery.close()
-        self._pool.close()
-        self.log.event("ended")
+        self.close()
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -8,9 +8,10 @@
 from larkcrank.protocol import http1, platform
 from larkcrank.routing.exchange import Exchange, StreamAnswer
 from larkcrank.transport.connection import Connection, ConnectionLostError
-from larkcrank.transport.descriptors import Descriptors
+from larkcrank.transport.descriptors import Descriptors, Use
 
 PART_TIMEOUT_S = 30.0  # a request that was begun must be whole by then
+SILENT_S = 1.0  # a connection that has sent nothing for so long may make way for another
 LINGER_S = 1.0  # a client that is told of its error may still be sending
 LINGER_BYTES = 1 << 20
 
@@ -52,7 +53,8 @@
         self._tenants = {tenant.name: index for index, tenant in enumerate(settings.tenants)}
         self._open: dict[Connection, _Visit] = {}
         self._closing = False
-        descriptors.add_spare(self._close_one_idle)
+        self._descriptors = descriptors
+        descriptors.add_spare(Use.CLIENT, self._close_one_idle)
 
     @property
     def open(self) -> int:
@@ -81,10 +83,14 @@
             await asyncio.wait([visit.task for visit in self._open.values() if visit.task is not None])
 
     def _close_one_idle(self) -> bool:
-        for visit in self._open.values():
-            if not visit.connection.closed and visit.served and visit.is_idle():
-                visit.connection.close()
-                return True
+        """Those that were served first; one that sent nothing yet only when it has had its time."""
+        idle = [visit for visit in self._open.values() if visit.is_idle()]
+        old = asyncio.get_running_loop().time() - SILENT_S
+        for visit in [visit for visit in idle if visit.served] + [
+            visit for visit in idle if visit.came < old
+        ]:
+            visit.connection.close()
+            return True
         return False
 
     async def _serve(self, visit: "_Visit") -> None:
@@ -171,14 +177,14 @@
     async def _write(
         self, visit: "_Visit", request: http1.Request, status: int, lines: tuple[bytes, ...], body: bytes
     ) -> bool:
-        close = self._closing or not request.keep_alive
+        close = self._ends_with(request)
         await visit.connection.write(http1.response_bytes(status, lines, body, close))
         return not close
 
     async def _write_stream(
         self, visit: "_Visit", request: http1.Request, exchange: Exchange, answer: StreamAnswer
     ) -> bool:
-        close = self._closing or not request.keep_alive
+        close = self._ends_with(request)
         connection = visit.connection
         await connection.write(http1.stream_head_bytes(answer.status, answer.lines, close))
         while (part := await exchange.next_part()) is not None:
@@ -189,6 +195,10 @@
         await connection.write(http1.chunk_bytes(b""))
         return not close
 
+    def _ends_with(self, request: http1.Request) -> bool:
+        """Whether the connection ends with this answer: it is asked to, or its place is wanted."""
+        return self._closing or self._descriptors.wanted or not request.keep_alive
+
     def _exchange(self, request: http1.Request) -> Exchange:
         call = platform.read_call(request)
         index, cls = self._class_of(request, call)
@@ -236,12 +246,13 @@
 class _Visit:
     """One of the application's connections."""
 
-    __slots__ = ("busy", "connection", "parser", "served", "task")
+    __slots__ = ("busy", "came", "connection", "parser", "served", "task")
 
     def __init__(self, connection: Connection) -> None:
         self.connection = connection
         self.parser = http1.RequestParser()
         self.busy = False  # from a request's last byte in to its answer's last byte out
+        self.came = asyncio.get_running_loop().time()
         self.served = False
         self.task: asyncio.Task[None] | None = None
 
--- a/larkcrank/routing/discovery.py
+++ b/larkcrank/routing/discovery.py
@@ -7,8 +7,8 @@
 
 from larkcrank.protocol import discovery, http1
 from larkcrank.protocol.discovery import Listing, Names
-from larkcrank.transport.connection import Connection, ConnectionLostError, NoRoomError, connect
-from larkcrank.transport.descriptors import Descriptors
+from larkcrank.transport.connection import Connecting, Connection, ConnectionLostError, NoRoomError
+from larkcrank.transport.descriptors import Descriptors, Use
 
 WATCH_MS = 20000
 SLACK_MS = 2000.0  # a call not answered so long after its wait is not answered at all
@@ -150,8 +150,9 @@
         connection = self._connection
         if connection is None or not connection.is_quiet():
             self.close()
-            connection = await connect(self._place, self._descriptors, self._connect_timeout_ms)
-            self._connection = connection
+            connecting = Connecting(self._place, self._descriptors, Use.DISCOVERY)
+            self._connection = connection = connecting.connection
+            await connecting.wait(self._connect_timeout_ms)
         host = b"Host: %s:%d" % (self._place[0].encode(), self._place[1])
         await connection.write(http1.request_bytes(b"GET", target, (host,)))
         parser = http1.ResponseParser(max_body=MAX_LIST)
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -10,7 +10,7 @@
 from larkcrank.protocol.discovery import Listing
 from larkcrank.routing.exchange import Exchange
 from larkcrank.transport.connection import Connecting, Connection, ConnectionLostError, NoRoomError
-from larkcrank.transport.descriptors import Descriptors
+from larkcrank.transport.descriptors import Descriptors, Use
 from larkcrank.transport.pool import Pool
 
 PROBE_TIMEOUT_TIMES = 2.0  # of the connect time-out: a probe's answer is made beside the queue
@@ -220,7 +220,7 @@
             attempt.connection = pooled
             return pooled
         self._tally.connects += 1
-        connecting = Connecting(place, self._descriptors, for_attempt=True)
+        connecting = Connecting(place, self._descriptors, Use.ATTEMPT)
         attempt.connection = connecting.connection
         return await connecting.wait(self._connect_timeout_ms)
 
@@ -264,7 +264,7 @@
             if place is not None:
                 async with asyncio.timeout(PROBE_TIMEOUT_TIMES * self._connect_timeout_ms / 1000.0):
                     result = Result.CONNECT_FAILED
-                    connecting = Connecting(place, self._descriptors, for_attempt=True)
+                    connecting = Connecting(place, self._descriptors, Use.ATTEMPT)
                     connection = connecting.connection
                     await connecting.wait(self._connect_timeout_ms)
                     await connection.write(http1.request_bytes(b"GET", target, (b"Host: " + address,)))
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -6,7 +6,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from larkcrank.transport.descriptors import Descriptors
+from larkcrank.transport.descriptors import Descriptors, Use
 
 CHUNK = 64 * 1024
 
@@ -22,8 +22,9 @@
     connection keeps one: its result is the first bytes of what comes next.
     """
 
-    def __init__(self, stream: IOStream, descriptors: Descriptors) -> None:
+    def __init__(self, stream: IOStream, descriptors: Descriptors, use: Use) -> None:
         self.stream = stream
+        self._use = use
         self._descriptors = descriptors
         self._reading: asyncio.Future[bytes] | None = None
         self._closed = False
@@ -78,7 +79,7 @@
             return
         self._closed = True
         self.stream.close()
-        self._descriptors.give_back()
+        self._descriptors.give_back(self._use)
 
     def stop_sending(self) -> None:
         """Tell the other side that nothing more comes."""
@@ -94,11 +95,11 @@
         future.exception()
 
 
-def wrap(sock: socket.socket, descriptors: Descriptors) -> Connection:
+def wrap(sock: socket.socket, descriptors: Descriptors, use: Use) -> Connection:
     """A connection on a connected socket whose place was taken already."""
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return Connection(IOStream(sock, read_chunk_size=CHUNK), descriptors)
+    return Connection(IOStream(sock, read_chunk_size=CHUNK), descriptors, use)
 
 
 class NoRoomError(Exception):
@@ -108,17 +109,17 @@
 class Connecting:
     """A connection on its way up. `close` gives it up; whoever waits gets `ConnectionLostError`."""
 
-    def __init__(self, place: tuple[str, int], descriptors: Descriptors, for_attempt: bool) -> None:
-        if not descriptors.take(for_attempt):
+    def __init__(self, place: tuple[str, int], descriptors: Descriptors, use: Use) -> None:
+        if not descriptors.take(use):
             raise NoRoomError
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError as error:
-            descriptors.give_back()
+            descriptors.give_back(use)
             if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                 raise NoRoomError from None
             raise ConnectionLostError(str(error)) from None
-        self.connection = wrap(sock, descriptors)
+        self.connection = wrap(sock, descriptors, use)
         self.connection.place = place
         self._place = place
 
@@ -135,7 +136,3 @@
         finally:
             timer.cancel()
         return connection
-
-
-async def connect(place: tuple[str, int], descriptors: Descriptors, timeout_ms: float) -> Connection:
-    return await Connecting(place, descriptors, for_attempt=False).wait(timeout_ms)
--- a/larkcrank/transport/descriptors.py
+++ b/larkcrank/transport/descriptors.py
@@ -1,9 +1,17 @@
 """The count of descriptors: sockets are opened only where there is room for one."""
 
 from collections.abc import Callable
+from enum import Enum
 
-RESERVE = 32  # for standard streams, the loop's own, discovery, and a margin
-ATTEMPT_SHARE = 0.75  # attempts leave the rest to clients: those must always get in
+RESERVE = 32  # for standard streams, the loop's own, and a margin
+
+
+class Use(Enum):
+    """What a socket is for, with the share of all places that this may fill: no use may starve another."""
+
+    CLIENT = 0.85
+    ATTEMPT = 0.5
+    DISCOVERY = 1.0
 
 
 class Descriptors:
@@ -11,33 +19,40 @@
 
     def __init__(self, limit: int) -> None:
         self._room = limit - RESERVE
-        self._used = 0
-        self._spares: list[Callable[[], bool]] = []
-        self._waiting: list[Callable[[], None]] = []
+        self._used = dict.fromkeys(Use, 0)
+        self._spares: dict[Use, Callable[[], bool]] = {}
+        self._waiting: set[Callable[[], None]] = set()
 
     @property
     def used(self) -> int:
-        return self._used
+        return sum(self._used.values())
 
-    def add_spare(self, close_one: Callable[[], bool]) -> None:
+    @property
+    def wanted(self) -> bool:
+        """Somebody waits for a place: connections that can be spared should end."""
+        return bool(self._waiting)
+
+    def add_spare(self, use: Use, close_one: Callable[[], bool]) -> None:
         """Register a way to give up one idle connection; it says whether there was one."""
-        self._spares.append(close_one)
+        self._spares[use] = close_one
 
-    def take(self, for_attempt: bool = False) -> bool:
+    def take(self, use: Use) -> bool:
         """A place for one more socket, made by closing idle ones if need be."""
-        room = int(self._room * ATTEMPT_SHARE) if for_attempt else self._room
-        while self._used >= room:
-            if not any(close_one() for close_one in self._spares):
+        while self._used[use] >= int(self._room * use.value):
+            if use not in self._spares or not self._spares[use]():
+                return False
+        while self.used >= self._room:
+            if not any(close_one() for close_one in self._spares.values()):
                 return False
-        self._used += 1
+        self._used[use] += 1
         return True
 
-    def give_back(self) -> None:
-        self._used -= 1
-        waiting, self._waiting = self._waiting, []
+    def give_back(self, use: Use) -> None:
+        self._used[use] -= 1
+        waiting, self._waiting = self._waiting, set()
         for wake in waiting:
             wake()
 
     def when_free(self, wake: Callable[[], None]) -> None:
         """Call `wake` once, when the next place is given back."""
-        self._waiting.append(wake)
+        self._waiting.add(wake)
--- a/larkcrank/transport/listener.py
+++ b/larkcrank/transport/listener.py
@@ -5,11 +5,14 @@
 from collections.abc import Callable
 
 from larkcrank.transport.connection import Connection, wrap
-from larkcrank.transport.descriptors import Descriptors
+from larkcrank.transport.descriptors import Descriptors, Use
 
 BACKLOG = 4096  # a connection waiting here may hold a request that counts as taken
 
 
+REST_S = 0.05
+
+
 class Listener:
     """Accepts until it is closed; with no descriptor left it waits until one is given back."""
 
@@ -23,12 +26,9 @@
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.setblocking(False)
         self._socket.bind(place)
-        self._closed = False
-
-    @property
-    def place(self) -> tuple[str, int]:
         host, port = self._socket.getsockname()[:2]
-        return str(host), int(port)
+        self.place = (str(host), int(port))
+        self._closed = False
 
     def start(self) -> None:
         self._socket.listen(BACKLOG)
@@ -40,24 +40,28 @@
 
     def _accept(self) -> None:
         while True:
-            if not self._descriptors.take():
-                self._loop.remove_reader(self._socket.fileno())
+            if not self._descriptors.take(Use.CLIENT):
                 self._descriptors.when_free(self._watch)
+                self._rest()
                 return
             try:
                 sock, _ = self._socket.accept()
             except (BlockingIOError, InterruptedError):
-                self._descriptors.give_back()
+                self._descriptors.give_back(Use.CLIENT)
                 return
             except ConnectionError:  # it went away while it waited
-                self._descriptors.give_back()
+                self._descriptors.give_back(Use.CLIENT)
                 continue
             except OSError:  # no descriptor after all: the count is not the whole truth
-                self._loop.remove_reader(self._socket.fileno())
-                self._descriptors.give_back()
-                self._loop.call_later(0.05, self._watch)
+                self._descriptors.give_back(Use.CLIENT)
+                self._rest()
                 return
-            self._accepted(wrap(sock, self._descriptors))
+            self._accepted(wrap(sock, self._descriptors, Use.CLIENT))
+
+    def _rest(self) -> None:
+        """A listening socket that can't be served would wake the loop without end."""
+        self._loop.remove_reader(self._socket.fileno())
+        self._loop.call_later(REST_S, self._watch)
 
     def close(self) -> None:
         """Take what still waits, then accept nothing more."""
--- a/larkcrank/transport/pool.py
+++ b/larkcrank/transport/pool.py
@@ -5,7 +5,7 @@
 
 from larkcrank.core.interface import Address
 from larkcrank.transport.connection import Connection
-from larkcrank.transport.descriptors import Descriptors
+from larkcrank.transport.descriptors import Descriptors, Use
 
 IDLE_SHARE = 0.5  # of the time after which the endpoint closes: a request must not cross that
 
@@ -17,7 +17,7 @@
         self._loop = asyncio.get_running_loop()
         self._idle: OrderedDict[Connection, tuple[Address, asyncio.TimerHandle]] = OrderedDict()
         self._keep_s = keepalive_ms * IDLE_SHARE / 1000.0
-        descriptors.add_spare(self._close_oldest)
+        descriptors.add_spare(Use.ATTEMPT, self._close_oldest)
 
     def __len__(self) -> int:
         return len(self._idle)
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,401 @@
+"""The whole sidecar on loopback sockets."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from larkcrank.protocol import http1
+from tests import bed as b
+from tests.frames import CONFIG
+
+KEY = b"Idempotency-Key: 5c0f"
+
+
+def test_a_request_goes_on_as_it_came_and_its_answer_comes_back() -> None:
+    async def work() -> None:
+        one = b.Endpoint("s-1")
+        async with b.bed(one) as bed:
+            client = await bed.client()
+            client.send("book", 8.0, "POST", KEY, b"X-Mine:  as it came", body=b"ink")
+            answer = await client.answer()
+            assert (answer.status, answer.body) == (200, b"made by /book/1")
+            assert answer.fields.one(b"x-from") == b"s-1"
+            (came,) = one.requests
+            assert (came.method, came.target, came.body) == (b"POST", b"/book/1", b"ink")
+            assert came.fields.one(b"idempotency-key") == b"5c0f"
+            assert b"X-Mine:  as it came" in [field.line for field in came.fields]
+            assert 0 < float(came.fields.one(b"req-deadline") or 0) <= 8.0
+            assert (await client.call("view")).status == 200  # the connection is kept
+            assert one.opened == 1  # and the one to the endpoint too
+            assert bed.sidecar.counters.reuses == 1
+
+    b.run(work())
+
+
+def test_it_is_ready_at_once() -> None:
+    async def work() -> None:
+        async with b.bed(discovery_up=False, known=False) as bed:
+            client = await bed.client()
+            client.writer.write(b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert (await client.answer()).status == 200
+
+    b.run(work())
+
+
+def test_with_discovery_down_the_known_list_serves() -> None:
+    async def work() -> None:
+        async with b.bed(b.Endpoint("s-1"), discovery_up=False) as bed:
+            client = await bed.client()
+            assert (await client.call("view")).status == 200
+            await b.until(lambda: bed.sidecar.counters.discovery_failures > 0)
+            assert (await client.call("view")).status == 200
+
+    b.run(work())
+
+
+def test_requests_sent_ahead_are_answered_in_turn() -> None:
+    async def work() -> None:
+        async with b.bed(b.Endpoint("s-1")) as bed:
+            client = await bed.client()
+            for _ in range(3):
+                client.send("view")
+            parser, count = http1.ResponseParser(), 0
+            data = b""
+            while count < 3:
+                data += await client.reader.read(65536)
+                count = data.count(b"made by /view/1")
+            assert parser.head is None
+
+    b.run(work())
+
+
+@pytest.mark.parametrize(
+    ("kind", "serve", "status"),
+    [
+        ("take", b.say_declined, 503),  # it never ran: trying again does no harm
+        ("take", b.say_error, 502),
+        ("take", b.hang_up, 502),
+        ("take", b.say_half, 502),  # a short answer is none
+        ("view", b.say_error, 503),
+        ("view", b.say_half, 503),
+        ("book", b.hang_up, 503),
+    ],
+)
+def test_how_a_request_ends_that_no_server_serves(kind: str, serve: b.Serve, status: int) -> None:
+    """An unsafe request that may have run is sent once and never refused."""
+
+    async def work() -> None:
+        one, two = b.Endpoint("s-1", serve), b.Endpoint("s-2", serve)
+        async with b.bed(one, two) as bed:
+            client = await bed.client()
+            answer = await client.call(kind, 1.0, "GET" if kind == "view" else "POST", KEY)
+            assert answer.status == status
+            sent = len(one.requests) + len(two.requests)
+            assert sent == 1 if kind == "take" and serve is not b.say_declined else sent > 1
+
+    b.run(work())
+
+
+@pytest.mark.parametrize("serve", [b.say_declined, b.say_error, b.hang_up, b.say_half])
+def test_a_safe_request_goes_to_another_server(serve: b.Serve) -> None:
+    async def work() -> None:
+        bad, good = b.Endpoint("s-1", serve), b.Endpoint("s-2")
+        async with b.bed(bad, good) as bed:
+            client = await bed.client()
+            for _ in range(4):
+                assert (await client.call("view")).body == b"made by /view/1"
+            assert bad.requests  # it had its turn
+
+    b.run(work())
+
+
+def test_a_server_that_refuses_connections_proves_that_nothing_ran() -> None:
+    async def work() -> None:
+        down, good = b.Endpoint("s-1"), b.Endpoint("s-2")
+        async with b.bed(down, good) as bed:
+            await down.stop()
+            client = await bed.client()
+            for _ in range(6):
+                assert (await client.call("take", 8.0, "POST")).status == 200
+            assert bed.sidecar.counters.outcomes["connect failed"] > 0
+            assert len(good.requests) == 6
+
+    b.run(work())
+
+
+def test_a_silent_server_ends_in_a_failure_in_time_and_its_connection_is_closed() -> None:
+    async def work() -> None:
+        one = b.Endpoint("s-1", b.say_nothing)
+        async with b.bed(one) as bed:
+            client = await bed.client()
+            assert (await client.call("take", 0.2, "POST")).status == 504
+            await b.until(lambda: one.ended == 1)
+            assert len(one.requests) == 1
+
+    b.run(work())
+
+
+def test_a_client_that_goes_away_ends_its_attempt() -> None:
+    async def work() -> None:
+        one = b.Endpoint("s-1", b.say_nothing)
+        async with b.bed(one) as bed:
+            client = await bed.client()
+            client.send("take", 8.0, "POST")
+            await b.until(lambda: len(one.requests) == 1)
+            client.close()
+            await b.until(lambda: one.ended == 1)
+            assert bed.sidecar.counters.clients_gone == 1
+            assert bed.sidecar.counters.outcomes["cancelled"] == 1
+
+    b.run(work())
+
+
+def test_a_connection_that_the_endpoint_closed_is_not_used() -> None:
+    """An unsafe request written to one would end as a reset and be lost."""
+
+    async def work() -> None:
+        one = b.Endpoint("s-1")
+        async with b.bed(one) as bed:
+            client = await bed.client()
+            assert (await client.call("take", 8.0, "POST")).status == 200
+            one.writers[0].close()
+            await b.until(lambda: one.ended == 1)
+            assert (await client.call("take", 8.0, "POST")).status == 200
+            assert one.opened == 2 and bed.sidecar.counters.outcomes["reset"] == 0
+
+    b.run(work())
+
+
+def test_a_server_that_drains_gets_nothing_more() -> None:
+    async def work() -> None:
+        one, two = b.Endpoint("s-1"), b.Endpoint("s-2")
+        async with b.bed(one, two) as bed:
+            client = await bed.client()
+            for _ in range(4):
+                await client.call("view")
+            await b.until(lambda: any(b"after=1&" in target for target in bed.discovery.targets))
+            one.lifecycle = "Terminating"
+            bed.discovery.tell(one)
+            await b.until(lambda: any(b"after=2&" in target for target in bed.discovery.targets))
+            await b.until(lambda: one.ended == one.opened)  # its idle connections are closed
+            before = len(one.requests)
+            for _ in range(4):
+                assert (await client.call("view")).status == 200
+            assert len(one.requests) == before
+
+    b.run(work())
+
+
+def test_a_server_may_change_its_address() -> None:
+    async def work() -> None:
+        one = b.Endpoint("s-1")
+        async with b.bed(one) as bed:
+            client = await bed.client()
+            await client.call("view")
+            await b.until(lambda: any(b"after=1&" in target for target in bed.discovery.targets))
+            moved = b.Endpoint("s-1")
+            await moved.start()
+            bed.discovery.tell(moved)
+            await b.until(lambda: bed.discovery.targets[-1].startswith(b"/registry/instances?after=2&"))
+            assert (await client.call("view")).status == 200
+            assert (len(one.requests), len(moved.requests)) == (1, 1)
+            await moved.stop()
+
+    b.run(work())
+
+
+@pytest.mark.parametrize(
+    ("text", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"POST /view HTTP/1.1\r\nHost: a\r\nContent-Length: 99999\r\n\r\n", 413),
+        (b"GET /view HTTP/1.1\r\nHost: a\r\n\r\n", 400),  # no Req-Id
+        (b"GET /odd HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\n\r\n", 404),
+        (b"GET /view HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nReq-Kind: take\r\n\r\n", 400),
+        (b"GET /view HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nReq-Deadline: x\r\n\r\n", 400),
+        (b"POST /book HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nContent-Length: 0\r\n\r\n", 400),  # no key
+    ],
+)
+def test_bad_input_is_the_clients_fault_and_reaches_no_decision(text: bytes, status: int) -> None:
+    async def work() -> None:
+        one = b.Endpoint("s-1")
+        async with b.bed(one) as bed:
+            client = await bed.client()
+            client.writer.write(text)
+            assert (await client.answer()).status == status
+            counters = bed.sidecar.counters
+            assert (counters.taken, counters.bad_requests, one.opened) == (0, 1, 0)
+
+    b.run(work())
+
+
+def test_a_connection_that_is_reset_harms_no_other() -> None:
+    async def work() -> None:
+        async with b.bed(b.Endpoint("s-1")) as bed:
+            for text in (b"", b"GET /vi", b"GET /view HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\n\r\n"):
+                client = await bed.client()
+                client.writer.write(text)
+                sock = client.writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                client.writer.transport.abort()
+            other = await bed.client()
+            assert (await other.call("view")).status == 200
+            assert bed.sidecar.counters.crashed == 0
+
+    b.run(work())
+
+
+def test_a_body_that_waits_for_word_is_asked_for() -> None:
+    async def work() -> None:
+        async with b.bed(b.Endpoint("s-1")) as bed:
+            client = await bed.client()
+            head = b"POST /take HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\n"
+            client.writer.write(head + b"Expect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+            assert await client.reader.readexactly(len(http1.CONTINUE)) == http1.CONTINUE
+            client.writer.write(b"ink")
+            assert (await client.answer()).status == 200
+
+    b.run(work())
+
+
+def test_more_requests_than_may_be_open_are_turned_away() -> None:
+    async def work() -> None:
+        one = b.Endpoint("s-1", b.say_nothing)
+        bounds = CONFIG["bounds"] | {"max-open": 1}
+        async with b.bed(one, bounds=bounds) as bed:
+            first, second = await bed.client(), await bed.client()
+            first.send("view")
+            await b.until(lambda: len(one.requests) == 1)
+            assert (await second.call("view")).status == 503
+            assert bed.sidecar.counters.turned_away_full == 1
+
+    b.run(work())
+
+
+def test_with_few_descriptors_idle_connections_make_way() -> None:
+    async def work() -> None:
+        one = b.Endpoint("s-1")
+        async with b.bed(one, sockets=64) as bed:  # 32 are kept in reserve
+            clients = [await bed.client() for _ in range(60)]
+            for client in clients:
+                client.send("view")
+                assert (await client.answer()).status == 200
+            assert bed.sidecar.counters.crashed == 0
+
+    b.run(work())
+
+
+def test_with_no_descriptor_left_a_request_is_refused_and_clients_wait_their_turn() -> None:
+    async def work() -> None:
+        one = b.Endpoint("s-1", b.say_nothing)
+        async with b.bed(one, sockets=64) as bed:
+            clients = [await bed.client() for _ in range(40)]
+            for client in clients:
+                client.send("view", 0.5)
+            answers = [await client.answer() for client in clients[:20]]
+            assert all(answer.status in (503, 504) for answer in answers)
+            for client in clients[:20]:
+                client.close()
+            for client in clients[20:]:  # those behind them are taken once places are free
+                assert (await client.answer()).status in (503, 504)
+
+    b.run(work())
+
+
+async def stream_two(endpoint: b.Endpoint, request: http1.Request, writer: b.Writer) -> None:
+    writer.write(http1.stream_head_bytes(200, ()) + http1.chunk_bytes(b"one"))
+    await asyncio.sleep(0.01)
+    writer.write(http1.chunk_bytes(b"two") + http1.chunk_bytes(b""))
+
+
+async def stream_broken(endpoint: b.Endpoint, request: http1.Request, writer: b.Writer) -> None:
+    writer.write(http1.stream_head_bytes(200, ()) + http1.chunk_bytes(b"one"))
+    await writer.drain()
+    writer.close()
+
+
+async def stream_long(endpoint: b.Endpoint, request: http1.Request, writer: b.Writer) -> None:
+    parts = [http1.chunk_bytes(bytes([65 + i]) * 10000) for i in range(20)]
+    writer.write(http1.stream_head_bytes(200, ()) + b"".join(parts) + http1.chunk_bytes(b""))
+
+
+def test_a_stream_is_passed_on_as_it_comes() -> None:
+    async def work() -> None:
+        one = b.Endpoint("s-1", stream_two)
+        async with b.bed(one) as bed:
+            client = await bed.client()
+            assert (await client.call("feed")).body == b"onetwo"
+            assert (await client.call("feed")).body == b"onetwo"
+            assert one.opened == 1 and bed.sidecar.counters.served == 2
+
+    b.run(work())
+
+
+def test_a_stream_may_be_longer_than_any_body() -> None:
+    async def work() -> None:
+        async with b.bed(b.Endpoint("s-1", stream_long)) as bed:
+            client = await bed.client()
+            client.send("feed")
+            parser, size = http1.ResponseParser(1 << 30), 0
+            while not parser.complete:
+                parser.feed(await client.reader.read(65536))
+                size += len(parser.take_body())
+            assert size == 200000
+
+    b.run(work())
+
+
+def test_a_broken_stream_shows_to_the_client() -> None:
+    async def work() -> None:
+        async with b.bed(b.Endpoint("s-1", stream_broken)) as bed:
+            client = await bed.client()
+            with pytest.raises(ConnectionError):
+                await client.call("feed")
+
+    b.run(work())
+
+
+def test_the_planned_end_answers_what_was_taken() -> None:
+    async def work() -> None:
+        gate = asyncio.Event()
+
+        async def wait(endpoint: b.Endpoint, request: http1.Request, writer: b.Writer) -> None:
+            await gate.wait()
+            await b.say_ok(endpoint, request, writer)
+
+        async with b.bed(b.Endpoint("s-1", wait)) as bed:
+            running, idle = await bed.client(), await bed.client()
+            running.send("view")
+            await b.until(lambda: bed.sidecar.counters.taken == 1)
+            ended = asyncio.create_task(bed.sidecar.wind_down())
+            await b.until(lambda: "winding_down" in bed.events())
+            late = await bed.client()  # they go on coming for a while
+            late.send("take", 8.0, "POST")
+            assert await idle.reader.read() == b""  # closed: nothing could be under way on it
+            await b.until(lambda: bed.sidecar.counters.taken == 2)
+            assert not ended.done()
+            gate.set()
+            for client in (running, late):
+                answer = await client.answer()
+                assert (answer.status, answer.keep_alive) == (200, False)
+            await ended
+            with pytest.raises(ConnectionError):
+                await bed.client()
+
+    b.run(work())
+
+
+def test_a_request_that_waits_in_the_backlog_at_the_end_is_served() -> None:
+    """The kernel accepted its connection: it counts as taken, read by us or not."""
+
+    async def work() -> None:
+        async with b.bed(b.Endpoint("s-1")) as bed:
+            client = await bed.client()
+            client.send("view")
+            await client.writer.drain()
+            bed.sidecar.stop_listening()
+            assert (await client.answer()).status == 200
+
+    b.run(work())
