--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -90,7 +90,7 @@
         one, two = b.Endpoint("s-1", serve), b.Endpoint("s-2", serve)
         async with b.bed(one, two) as bed:
             client = await bed.client()
-            answer = await client.call(kind, 1.0, "GET" if kind == "view" else "POST", KEY)
+            answer = await client.call(kind, 3.0, "GET" if kind == "view" else "POST", KEY)
             assert answer.status == status
             sent = len(one.requests) + len(two.requests)
             assert sent == 1 if kind == "take" and serve is not b.say_declined else sent > 1
