--- a/larkcrank/config/sidecar.py
+++ b/larkcrank/config/sidecar.py
@@ -37,7 +37,7 @@
 @dataclass(slots=True, frozen=True)
 class Config:
     name: str
-    listen: tuple[str, int]
+    listen: tuple[str, int]  # port 0: any free one; the log says which
     discovery: tuple[str, int]
     seed: int
     sockets: int
@@ -70,7 +70,7 @@
         raise ConfigError(str(error)) from None
     return Config(
         name=environment.get("PROXY_NAME") or file.name or "larkcrank",
-        listen=_place("listen", environment.get("PROXY_LISTEN") or file.listen),
+        listen=_place("listen", environment.get("PROXY_LISTEN") or file.listen, lowest=0),
         discovery=_place("discovery", environment.get("PROXY_DISCOVERY") or file.discovery),
         seed=_seed(file.seed),
         sockets=file.limits.sockets,
@@ -79,9 +79,9 @@
     )
 
 
-def _place(key: str, text: str) -> tuple[str, int]:
+def _place(key: str, text: str, lowest: int = 1) -> tuple[str, int]:
     try:
-        return host_port(text)
+        return host_port(text, lowest)
     except ValueError as error:
         raise ConfigError(f"{key}: {error}") from None
 
--- a/larkcrank/protocol/discovery.py
+++ b/larkcrank/protocol/discovery.py
@@ -93,9 +93,9 @@
         ) from None
 
 
-def host_port(text: str) -> tuple[str, int]:
+def host_port(text: str, lowest: int = 1) -> tuple[str, int]:
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+    if not colon or not host or not port.isdecimal() or not lowest <= int(port) < 65536:
         raise ValueError(f"{text!r} is no host:port")
     return host, int(port)
 
--- a/larkcrank/protocol/platform.py
+++ b/larkcrank/protocol/platform.py
@@ -74,6 +74,8 @@
 def request_to_endpoint(request: http1.Request, wait_ms: float) -> bytes:
     """The request as it came, with the time that this hop waits."""
     lines = [*request.fields.passed_on(but=_REPLACED), b"Req-Deadline: %.3f" % (max(wait_ms, 0.0) / 1000.0)]
+    if not request.fields.all(b"host"):  # HTTP/1.0 may leave it out, the next hop's 1.1 may not
+        lines.append(b"Host:")
     return http1.request_bytes(request.method, request.target, lines, request.body)
 
 
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -254,7 +254,7 @@
     text = json.dumps(
         {
             "name": "n0",
-            "listen": "127.0.0.1:1",
+            "listen": "127.0.0.1:0",
             "discovery": f"127.0.0.1:{discovery.port}",
             "seed": "7",
             "limits": {"sockets": sockets},
@@ -263,7 +263,6 @@
         }
     ).encode()
     parsed = config.parse(text, {})
-    object.__setattr__(parsed, "listen", ("127.0.0.1", 0))  # any free port
     log = io.BytesIO()
     sidecar = Sidecar(parsed, Log("n0", log))
     sidecar.start()
--- /dev/null
+++ b/tests/test_driver.py
@@ -0,0 +1,359 @@
+"""The driver, the server side and discovery's watch, each with the rest played by the test."""
+
+import asyncio
+import io
+import json
+from collections.abc import Callable
+from random import Random
+
+import pytest
+
+from larkcrank.core import interface as api
+from larkcrank.program.clock import Clock
+from larkcrank.program.counters import Counters
+from larkcrank.program.log import MOST_A_SECOND, Log
+from larkcrank.protocol import http1, platform
+from larkcrank.protocol.discovery import Listing, Names
+from larkcrank.routing.discovery import Discovery
+from larkcrank.routing.driver import Driver
+from larkcrank.routing.exchange import Answer, Exchange
+from larkcrank.routing.servers import Servers
+from larkcrank.transport.descriptors import Descriptors, Use
+from larkcrank.transport.pool import Pool
+from tests import bed as b
+
+Decide = Callable[[api.Event], list[api.Action]]
+
+
+class Scripted:
+    """Decides as the test says, and sees that it is never entered twice."""
+
+    def __init__(self, decide: Decide) -> None:
+        self.decide = decide
+        self.events: list[api.Event] = []
+        self._inside = False
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        assert not self._inside
+        self._inside = True
+        self.events.append(event)
+        try:
+            return self.decide(event)
+        finally:
+            self._inside = False
+
+    def seen(self, kind: type) -> list[api.Event]:
+        return [event for event in self.events if isinstance(event, kind)]
+
+
+class Stand:
+    """A driver with its server side, no clients and no discovery."""
+
+    def __init__(self, decide: Decide, *endpoints: b.Endpoint) -> None:
+        self.decisions = Scripted(decide)
+        self.counters = Counters()
+        self.log = io.BytesIO()
+        self.clock = Clock()
+        log = Log("test", self.log)
+        descriptors = Descriptors(256)
+        self.pool = Pool(descriptors, 1000.0)
+        self.servers = Servers(self.pool, descriptors, 250.0, (), self.clock, self.counters, log.failure)
+        discovery = Discovery(
+            ("127.0.0.1", 1), descriptors, Names([], []), 250.0, False, Random(1), self.counters, log.failure
+        )
+        self.driver = Driver(
+            self.decisions, self.clock, self.servers, discovery, 100, 20.0, self.counters, log
+        )
+        if endpoints:
+            self.tell(*endpoints)
+
+    def tell(self, *endpoints: b.Endpoint, state: api.State = api.State.READY) -> None:
+        lines = tuple(api.Endpoint(endpoint.name.encode(), state) for endpoint in endpoints)
+        places = {endpoint.name.encode(): ("127.0.0.1", endpoint.port) for endpoint in endpoints}
+        self.driver.told(Listing(1, False, lines, places))
+
+    def take(self, left_ms: float = 5000.0) -> Exchange:
+        now = self.clock()
+        request = http1.Request(
+            b"GET", b"/view", http1.Fields((http1.Field(b"host", b"a", b"Host: a"),)), b"", True
+        )
+        call = platform.Call("id", "view", left_ms, False, False, "")
+        exchange = Exchange(self.driver.next_id(), 0, call, request, now, now + left_ms, False)
+        self.driver.take(exchange)
+        return exchange
+
+    def logged(self) -> list[str]:
+        return [json.loads(line)["event"] for line in self.log.getvalue().splitlines()]
+
+
+def test_outcomes_that_arise_meanwhile_wait_their_turn() -> None:
+    async def work() -> None:
+        def decide(event: api.Event) -> list[api.Action]:
+            match event:
+                case api.Request():  # this server is on no list: the outcome comes at once
+                    return [api.Send(event.id, b"nowhere"), api.Log("after the send")]
+                case api.Outcome():
+                    return [api.Fail(event.id)]
+            return []
+
+        stand = Stand(decide)
+        exchange = stand.take()
+        (outcome,) = stand.decisions.seen(api.Outcome)
+        assert isinstance(outcome, api.Outcome)
+        assert (outcome.result, outcome.closed) == (api.Result.NOT_SENT, False)
+        assert exchange.closed and stand.logged() == ["decision"]
+
+    b.run(work())
+
+
+def test_a_decision_that_crashes_fails_its_request_and_no_other() -> None:
+    async def work() -> None:
+        def decide(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Request) and event.id == 2:
+                raise ZeroDivisionError
+            return [api.Fail(event.id)] if isinstance(event, api.Request) and event.id == 3 else []
+
+        stand = Stand(decide)
+        first, second, third = stand.take(), stand.take(), stand.take()
+        assert (first.closed, second.closed, third.closed) == (False, True, True)
+        answer = second.first().result()
+        assert isinstance(answer, Answer) and answer.status == 500
+        assert stand.decisions.seen(api.ClientGone) == [api.ClientGone(2)]
+        assert stand.counters.crashed == 1 and "decision_crashed" in stand.logged()
+
+    b.run(work())
+
+
+def test_only_the_latest_timer_counts() -> None:
+    async def work() -> None:
+        def decide(event: api.Event) -> list[api.Action]:
+            return [api.SetTimer(1.0, 1), api.SetTimer(0.0, 2)] if isinstance(event, api.Request) else []
+
+        stand = Stand(decide)
+        stand.take()
+        await b.until(lambda: bool(stand.decisions.seen(api.TimerFired)))
+        await asyncio.sleep(0.01)
+        assert stand.decisions.seen(api.TimerFired) == [api.TimerFired(2)]
+
+    b.run(work())
+
+
+def test_a_request_that_nothing_decides_on_is_failed_after_its_time() -> None:
+    async def work() -> None:
+        stand = Stand(lambda event: [])
+        exchange = stand.take(left_ms=5.0)
+        answer = await exchange.first()
+        assert isinstance(answer, Answer) and answer.status == 504
+        assert stand.counters.overdue == stand.counters.unsent_late == 1
+        assert stand.decisions.seen(api.ClientGone) == [api.ClientGone(exchange.id)]
+
+    b.run(work())
+
+
+def test_a_server_that_leaves_while_its_connection_comes_up_gets_no_request() -> None:
+    async def work() -> None:
+        one = b.Endpoint("s-1")
+        await one.start()
+
+        def decide(event: api.Event) -> list[api.Action]:
+            return [api.Send(event.id, b"s-1")] if isinstance(event, api.Request) else []
+
+        stand = Stand(decide, one)
+        stand.take()
+        stand.tell(one, state=api.State.DRAINING)  # before the attempt's first step
+        await b.until(lambda: bool(stand.decisions.seen(api.Outcome)))
+        (outcome,) = stand.decisions.seen(api.Outcome)
+        assert isinstance(outcome, api.Outcome) and outcome.result is api.Result.NOT_SENT
+        assert not one.requests and stand.counters.sends == 0
+        await one.stop()
+
+    b.run(work())
+
+
+def test_after_its_answer_nothing_is_sent_for_a_request() -> None:
+    """Also where attempts may not be called off: one that still connects must not write."""
+
+    async def work() -> None:
+        one = b.Endpoint("s-1")
+        await one.start()
+
+        def decide(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Request):
+                return [api.Send(event.id, b"s-1"), api.Refuse(event.id), api.Send(event.id, b"s-1")]
+            return []
+
+        stand = Stand(decide, one)
+        exchange = stand.take()
+        await b.until(lambda: bool(stand.decisions.seen(api.Outcome)))
+        (outcome,) = stand.decisions.seen(api.Outcome)
+        assert isinstance(outcome, api.Outcome)
+        assert (outcome.result, outcome.closed) == (api.Result.NOT_SENT, True)
+        assert not one.requests and exchange.attempts == 1
+        await one.stop()
+
+    b.run(work())
+
+
+def test_giving_up_closes_the_connection_before_the_next_attempt_starts() -> None:
+    async def work() -> None:
+        one, two = b.Endpoint("s-1", b.say_nothing), b.Endpoint("s-2")
+        await one.start()
+        await two.start()
+
+        def decide(event: api.Event) -> list[api.Action]:
+            match event:
+                case api.Request():
+                    return [api.Send(event.id, b"s-1")]
+                case api.Outcome(result=api.Result.CANCELLED):
+                    assert stand.servers.under_way == 0
+                    return [api.Send(event.id, b"s-2")]
+                case api.TimerFired():
+                    return [api.Cancel(1, 0)]
+            return []
+
+        stand = Stand(decide, one, two)
+        exchange = stand.take()
+        await b.until(lambda: len(one.requests) == 1)
+        stand.driver.feed(api.TimerFired(0))
+        answer = await exchange.first()
+        assert isinstance(answer, Answer) and answer.body == b"made by /view"
+        await b.until(lambda: one.ended == 1)
+        await one.stop()
+        await two.stop()
+
+    b.run(work())
+
+
+def test_an_attempt_is_stopped_at_the_time_given() -> None:
+    async def work() -> None:
+        one = b.Endpoint("s-1", b.say_nothing)
+        await one.start()
+
+        def decide(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Request):
+                return [api.Send(event.id, b"s-1", stop_at_ms=stand.clock() + 20.0)]
+            return []
+
+        stand = Stand(decide, one)
+        stand.take()
+        await b.until(lambda: bool(stand.decisions.seen(api.Outcome)))
+        (outcome,) = stand.decisions.seen(api.Outcome)
+        assert isinstance(outcome, api.Outcome)
+        assert (outcome.result, outcome.closed) == (api.Result.TIMEOUT, False)
+        await one.stop()
+
+    b.run(work())
+
+
+@pytest.mark.parametrize(("up", "result"), [(True, api.Result.OK), (False, api.Result.CONNECT_FAILED)])
+def test_a_probe_asks_the_server_itself(up: bool, result: api.Result) -> None:
+    async def work() -> None:
+        one = b.Endpoint("s-1")
+        await one.start()
+        stand = Stand(lambda event: [api.Probe(b"s-1")] if isinstance(event, api.TimerFired) else [], one)
+        if not up:
+            await one.stop()
+        stand.driver.feed(api.TimerFired(0))
+        await b.until(lambda: bool(stand.decisions.seen(api.ProbeResult)))
+        (probed,) = stand.decisions.seen(api.ProbeResult)
+        assert isinstance(probed, api.ProbeResult) and (probed.address, probed.result) == (b"s-1", result)
+        assert [request.target for request in one.requests] == ([b"/health/live"] if up else [])
+        await one.stop()
+
+    b.run(work())
+
+
+async def watched(place: tuple[str, int], always: bool) -> tuple[Discovery, list[Listing], list[str]]:
+    discovery = Discovery(
+        place, Descriptors(256), Names([], []), 250.0, always, Random(1), Counters(), lambda *_: None
+    )
+    lists: list[Listing] = []
+    failures: list[str] = []
+    discovery.on_list = lists.append
+    discovery.on_failure = failures.append
+    return discovery, lists, failures
+
+
+def test_a_watch_goes_on_and_a_second_call_for_it_is_no_other() -> None:
+    async def work() -> None:
+        one = b.Endpoint("s-1")
+        one.port = 9
+        toy = b.ToyDiscovery([one])
+        await toy.start()
+        discovery, lists, _ = await watched(("127.0.0.1", toy.port), always=False)
+        discovery.watch()
+        await b.until(lambda: len(toy.targets) == 2)  # the whole list, then the wait for changes
+        discovery.watch()
+        toy.tell(one)
+        await b.until(lambda: len(toy.targets) == 3)
+        assert [(listing.generation, listing.whole) for listing in lists] == [(1, True), (2, False)]
+        assert toy.targets[0] == b"/registry/instances"
+        assert toy.targets[2].startswith(b"/registry/instances?after=2&wait_ms=")
+        discovery.close()
+        await toy.stop()
+
+    b.run(work())
+
+
+@pytest.mark.parametrize("always", [False, True])
+def test_a_watch_that_fails_begins_again_only_where_nobody_else_decides(always: bool) -> None:
+    async def work() -> None:
+        discovery, lists, failures = await watched(("127.0.0.1", 1), always)
+        discovery.watch()
+        await b.until(lambda: len(failures) == (2 if always else 1))
+        assert not lists
+        discovery.watch()
+        await b.until(lambda: len(failures) == (3 if always else 2))
+        discovery.close()
+
+    b.run(work())
+
+
+def test_an_old_connection_leaves_the_pool_before_the_endpoint_closes_it() -> None:
+    async def work() -> None:
+        one = b.Endpoint("s-1")
+        await one.start()
+
+        def decide(event: api.Event) -> list[api.Action]:
+            return [api.Send(event.id, b"s-1")] if isinstance(event, api.Request) else []
+
+        stand = Stand(decide, one)
+        stand.pool.close()
+        stand.servers._pool = stand.pool = Pool(Descriptors(256), keepalive_ms=40.0)
+        await stand.take().first()
+        await b.until(lambda: one.ended == 1)
+        assert len(stand.pool) == 0
+        await one.stop()
+
+    b.run(work())
+
+
+def test_no_use_of_descriptors_starves_another() -> None:
+    descriptors = Descriptors(132)
+    assert sum(descriptors.take(Use.CLIENT) for _ in range(200)) == 85
+    assert sum(descriptors.take(Use.ATTEMPT) for _ in range(200)) == 15
+    assert not descriptors.take(Use.CLIENT) and descriptors.used == 100
+    woken: list[int] = []
+    descriptors.when_free(lambda: woken.append(1))
+    assert descriptors.wanted
+    descriptors.give_back(Use.CLIENT)
+    assert woken == [1] and not descriptors.wanted and descriptors.take(Use.CLIENT)
+
+
+def test_a_flood_of_lines_is_cut_and_counted() -> None:
+    out = io.BytesIO()
+    log = Log("n0", out)
+    for _ in range(5 * MOST_A_SECOND):
+        log.event("same")
+    lines = [json.loads(line) for line in out.getvalue().splitlines()]
+    assert len(lines) < 5 * MOST_A_SECOND and all(line["sidecar"] == "n0" for line in lines)
+
+
+def test_the_clock_fits_unix_time_and_never_runs_backwards(monkeypatch: pytest.MonkeyPatch) -> None:
+    times = {"time": 1000.0, "monotonic": 50.0}
+    monkeypatch.setattr("time.time", lambda: times["time"])
+    monkeypatch.setattr("time.monotonic", lambda: times["monotonic"])
+    clock = Clock()
+    assert clock() == 1000_000.0
+    times |= {"time": 10.0, "monotonic": 51.0}  # the system's clock was set back
+    assert clock() == 1001_000.0
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -207,3 +207,13 @@
         config.load({})
     with pytest.raises(config.ConfigError, match=r"absent\.json: No such file"):
         config.load({"PROXY_CONFIG": str(tmp_path / "absent.json")})
+
+
+def test_a_request_of_http_1_0_gets_the_host_that_it_may_leave_out() -> None:
+    parser = http1.RequestParser()
+    parser.feed(b"GET /proof HTTP/1.0\r\nReq-Id: 1\r\n\r\n")
+    came = parser.next()
+    assert came is not None and not came.keep_alive
+    parser.feed(platform.request_to_endpoint(came, 1000.0))
+    sent = parser.next()
+    assert sent is not None and sent.fields.one(b"host") == b""
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,102 @@
+"""The program as it is started: the example, signals, counters and messages."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from larkcrank.protocol import http1
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+@contextmanager
+def started(*command: str, **environment: str) -> Iterator[subprocess.Popen[str]]:
+    process = subprocess.Popen(
+        [sys.executable, *command],
+        cwd=ROOT,
+        env=os.environ | environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        yield process
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def event(process: subprocess.Popen[str], name: str) -> dict[str, Any]:
+    """The next log line of this name."""
+    assert process.stderr is not None
+    for line in process.stderr:
+        found: dict[str, Any] = json.loads(line)
+        if found["event"] == name:
+            return found
+    raise AssertionError(f"no event {name}")
+
+
+def call(place: str, text: bytes) -> http1.Response:
+    host, _, port = place.rpartition(":")
+    parser = http1.ResponseParser()
+    with socket.create_connection((host, int(port)), timeout=20) as sock:
+        sock.sendall(text)
+        while not parser.complete:
+            parser.feed(sock.recv(65536) or b"\r\n\r\n")
+    return parser.response()
+
+
+def test_the_example_serves_and_ends(tmp_path: Path) -> None:
+    with started("examples/toy_server.py", str(tmp_path)) as toy:
+        assert toy.stdout is not None
+        config = toy.stdout.readline().strip()
+        with started("-m", "larkcrank", PROXY_CONFIG=config, PROXY_LISTEN="127.0.0.1:0") as sidecar:
+            place = event(sidecar, "ready")["listen"]
+            ready = call(place, b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert ready.status == 200
+            for number in range(3):
+                text = (
+                    b"POST /order/7 HTTP/1.1\r\nHost: a\r\nReq-Id: %d\r\nContent-Length: 3\r\n\r\nink"
+                    % number
+                )
+                answer = call(place, text)
+                assert answer.status == 200 and answer.body.endswith(b"served /order/7\n")
+            sidecar.send_signal(signal.SIGUSR1)
+            counters = event(sidecar, "counters")
+            assert (counters["taken"], counters["served"], counters["crashed"]) == (3, 3, 0)
+            assert counters["outcomes"]["ok"] == 3
+            sidecar.send_signal(signal.SIGTERM)
+            assert event(sidecar, "counters")["taken"] == 3
+            assert sidecar.wait(20) == 0
+
+
+@pytest.mark.parametrize(
+    ("text", "message"),
+    [(None, "PROXY_CONFIG: not set"), ("{}", "settings"), ('{"settings": {}}', "grades")],
+)
+def test_a_bad_configuration_ends_it_with_a_message(tmp_path: Path, text: str | None, message: str) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    with started("-m", "larkcrank", PROXY_CONFIG="" if text is None else str(path)) as sidecar:
+        assert message in event(sidecar, "bad_configuration")["message"]
+        assert sidecar.wait(20) == 2
+
+
+def test_an_address_in_use_ends_it_with_a_message(tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        path = tmp_path / "config.json"
+        path.write_text((ROOT / "examples" / "config.json").read_text())
+        listen = f"127.0.0.1:{taken.getsockname()[1]}"
+        with started("-m", "larkcrank", PROXY_CONFIG=str(path), PROXY_LISTEN=listen) as sidecar:
+            assert "in use" in event(sidecar, "cannot_listen")["message"]
+            assert sidecar.wait(20) == 1
