--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -63,7 +63,14 @@
             self.counters,
             log,
         )
-        self._clients = Clients(site.decisions, self._driver, self._descriptors, self.counters, log.failure)
+        self._clients = Clients(
+            site.decisions,
+            self._driver,
+            self._clock.earliest,
+            self._descriptors,
+            self.counters,
+            log.failure,
+        )
         self._listener = Listener(config.listen, self._descriptors, self._clients.accept)
         self._always_watch = not site.decisions.must_ask
         self._known = config.known
@@ -80,6 +87,7 @@
             self._driver.told(known, cached=True)
         if self._always_watch:
             self._discovery.watch()
+        self._clock.beat()
         self._listener.start()
         host, port = self.place
         self.log.event("ready", listen=f"{host}:{port}", known=len(known.endpoints) if known else 0)
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -20,7 +20,6 @@
     """Where requests are handed in."""
 
     def is_full(self) -> bool: ...
-    def now(self) -> float: ...
     def next_id(self) -> int: ...
     def take(self, exchange: Exchange) -> None: ...
     def client_gone(self, exchange: Exchange) -> None: ...
@@ -42,11 +41,13 @@
         self,
         settings: Settings,
         desk: Desk,
+        came_at: Callable[[], float],
         descriptors: Descriptors,
         tally: Tally,
         failed: Callable[[str, BaseException], None],
     ) -> None:
         self._desk = desk
+        self._came_at = came_at
         self._tally = tally
         self._failed = failed
         self._classes = {cls.name: (index, cls) for index, cls in enumerate(settings.classes)}
@@ -207,14 +208,14 @@
         if self._tenants and call.owner and call.owner not in self._tenants:
             raise http1.MessageError(400, "unknown Req-Owner")
         wait_ms = cls.deadline_ms if call.wait_ms is None else call.wait_ms
-        now = self._desk.now()
+        came_at = self._came_at()
         return Exchange(
             id=self._desk.next_id(),
             cls=index,
             call=call,
             request=request,
-            came_at=now,
-            deadline=now + wait_ms,
+            came_at=came_at,
+            deadline=came_at + wait_ms,
             streaming=cls.streaming,
             tenant=self._tenants.get(call.owner, 0),
         )
--- a/larkcrank/routing/discovery.py
+++ b/larkcrank/routing/discovery.py
@@ -11,7 +11,7 @@
 from larkcrank.transport.descriptors import Descriptors, Use
 
 WATCH_MS = 20000
-SLACK_MS = 2000.0  # a call not answered so long after its wait is not answered at all
+SLACK_MS = 2500.0  # a call not answered so long after its wait is not answered at all
 FETCH_TIMEOUT_MS = 6000.0
 AGAIN_S = (0.5, 8.0)  # between watches that fail, where nobody else decides when to ask
 MAX_LIST = 4 << 20
--- a/larkcrank/routing/driver.py
+++ b/larkcrank/routing/driver.py
@@ -95,6 +95,7 @@
         self._guards: dict[int, asyncio.TimerHandle] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._last_id = 0
+        self._discovery_down = False
         servers.on_outcome = self._attempt_ended
         servers.on_stream = self._stream_started
         servers.on_probe = self._probe_ended
@@ -103,9 +104,6 @@
 
     # What the client side needs
 
-    def now(self) -> float:
-        return self._clock()
-
     def next_id(self) -> int:
         self._last_id += 1
         return self._last_id
@@ -139,10 +137,15 @@
 
     def told(self, listing: Listing, cached: bool = False) -> None:
         self._servers.learn(listing)
+        if self._discovery_down and not cached:
+            self._discovery_down = False
+            self._journal.event("discovery_answers", generation=listing.generation)
         self.feed(ServerList(listing.endpoints, listing.whole, cached, listing.generation))
 
     def _discovery_failed(self, reason: str) -> None:
-        self._journal.event("discovery_failed", reason=reason)
+        if not self._discovery_down:  # the log tells changes of state only
+            self._discovery_down = True
+            self._journal.event("discovery_failed", reason=reason)
         self.feed(DiscoveryFailed())
 
     def _attempt_ended(self, attempt: Attempt, result: Result, load: tuple[float, ...]) -> None:
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -153,8 +153,12 @@
 
     def _ended(self, attempt: Attempt, result: Result, load: tuple[float, ...]) -> None:
         self._attempts.pop((attempt.exchange.id, attempt.index), None)
-        if result in (Result.RESET, Result.CONNECT_FAILED):
-            self._pool.close_to(attempt.address)  # what ended one connection has likely ended them all
+        waited = self._now() - attempt.started > self._connect_timeout_ms
+        unanswered = attempt.written and result in (Result.TIMEOUT, Result.CANCELLED) and waited
+        if unanswered or result in (Result.RESET, Result.CONNECT_FAILED):
+            # What ended one connection has likely ended them all; and a machine that says nothing may be
+            # gone: a request written to an old connection may have run, a new one that fails proves not.
+            self._pool.close_to(attempt.address)
         self.on_outcome(attempt, result, load)
 
     @staticmethod
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -357,3 +357,65 @@
     assert clock() == 1000_000.0
     times |= {"time": 10.0, "monotonic": 51.0}  # the system's clock was set back
     assert clock() == 1001_000.0
+
+
+def test_what_waited_unread_while_the_process_stood_still_came_before(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its client's time ran meanwhile: counted from the reading, the final answer would come too late."""
+
+    async def work() -> None:
+        now = 50.0
+        monkeypatch.setattr("larkcrank.program.clock.time.monotonic", lambda: now)
+        clock = Clock()
+        clock.beat()
+        began = clock()
+        now += 0.03  # the loop is a little late: usual
+        assert clock.earliest() == clock() == began + 30.0
+        now += 0.5  # it had no CPU
+        assert clock.earliest() == began
+        clock.beat()
+        assert clock.earliest() == clock()
+
+    b.run(work())
+
+
+def test_after_an_attempt_without_an_answer_old_connections_are_not_used() -> None:
+    """A machine that is cut off says nothing on them; a new connection that fails proves that nothing ran."""
+
+    async def work() -> None:
+        one = b.Endpoint("s-1")
+        await one.start()
+
+        def decide(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Request):
+                return [api.Send(event.id, b"s-1", stop_at_ms=stand.clock() + 300.0)]
+            return []
+
+        stand = Stand(decide, one)
+        first, second = stand.take(), stand.take()
+        await asyncio.gather(first.first(), second.first())
+        assert len(stand.pool) == 2
+        one.serve = b.say_nothing
+        stand.take()
+        await b.until(lambda: len(stand.decisions.seen(api.Outcome)) == 3)
+        await b.until(lambda: one.ended == 2)
+        assert len(stand.pool) == 0
+        await one.stop()
+
+    b.run(work())
+
+
+def test_the_log_tells_when_discovery_fails_and_when_it_answers_again() -> None:
+    async def work() -> None:
+        async with b.bed(b.Endpoint("s-1")) as bed:
+            driver = bed.sidecar._driver
+            driver._discovery_failed("down")
+            driver._discovery_failed("still down")
+            driver.told(Listing(3, False, ()))
+            assert [name for name in bed.events() if name.startswith("discovery")] == [
+                "discovery_failed",
+                "discovery_answers",
+            ]
+
+    b.run(work())
