--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -187,6 +187,7 @@
     ) -> bool:
         close = self._ends_with(request)
         connection = visit.connection
+        connection.start_read().add_done_callback(lambda _: connection.closed and exchange.leave())
         await connection.write(http1.stream_head_bytes(answer.status, answer.lines, close))
         while (part := await exchange.next_part()) is not None:
             if part:
--- a/larkcrank/routing/exchange.py
+++ b/larkcrank/routing/exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from larkcrank.protocol import http1
@@ -53,6 +53,7 @@
     _parts: deque[bytes | None] = field(default_factory=deque)
     _moved: asyncio.Event = field(default_factory=asyncio.Event)
     broken: bool = False  # a stream that could not be finished
+    on_left: Callable[[], None] | None = None  # while a stream is under way
 
     # Server side
 
@@ -79,6 +80,7 @@
         self._moved.set()
 
     def end_stream(self, whole: bool) -> None:
+        self.on_left = None
         self.broken = self.broken or not whole
         self._parts.append(None)
         self._moved.set()
@@ -91,6 +93,8 @@
     async def next_part(self) -> bytes | None:
         """The next part of the stream, None at its end."""
         while not self._parts:
+            if self.broken:
+                return None
             self._moved.clear()
             await self._moved.wait()
         part = self._parts.popleft()
@@ -101,6 +105,8 @@
         """The client has gone; False where it has its answer, or a stream's beginning, already."""
         self.broken = True
         self._moved.set()
+        if self.on_left is not None:
+            self.on_left()  # an endpoint that is silent just now would not notice
         if self.closed:
             return False
         self.closed = True
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 from larkcrank.core.interface import Address, Result, State
@@ -238,6 +239,7 @@
             return
         if attempt.timer is not None:
             attempt.timer.cancel()
+        exchange.on_left = partial(attempt.end, Result.CANCELLED)
         self.on_stream(attempt)
         try:
             while True:
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -48,11 +48,13 @@
         """Some bytes. Raises `ConnectionLostError` at the end."""
         pending = self.start_read()
         try:
-            return await pending
+            # Shielded: a reader that stops waiting must not leave a dead read in the stream's way.
+            data = await asyncio.shield(pending)
         except StreamClosedError as error:
-            raise ConnectionLostError(str(error.real_error or "closed")) from None
-        finally:
             self._reading = None
+            raise ConnectionLostError(str(error.real_error or "closed")) from None
+        self._reading = None
+        return data
 
     async def write(self, data: bytes) -> None:
         """Return when the kernel has taken the last byte. Raises `ConnectionLostError` before that."""
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -357,6 +357,39 @@
     b.run(work())
 
 
+def test_a_client_that_leaves_a_stream_ends_it_though_the_endpoint_is_silent() -> None:
+    async def begin(endpoint: b.Endpoint, request: http1.Request, writer: b.Writer) -> None:
+        writer.write(http1.stream_head_bytes(200, ()) + http1.chunk_bytes(b"one"))
+
+    async def work() -> None:
+        one = b.Endpoint("s-1", begin)
+        async with b.bed(one) as bed:
+            client = await bed.client()
+            client.send("feed")
+            await client.reader.readuntil(b"one")
+            client.close()
+            await b.until(lambda: one.ended == 1)
+            assert bed.sidecar.counters.outcomes["cancelled"] == 1
+
+    b.run(work())
+
+
+def test_a_request_that_never_gets_whole_is_told_so(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def work() -> None:
+        monkeypatch.setattr("larkcrank.routing.clients.PART_TIMEOUT_S", 0.05)
+        async with b.bed() as bed:
+            client = await bed.client()
+            client.writer.write(b"GET /view HTT")
+            assert (await client.answer()).status == 408
+            client.writer.write(b"P/1.1")  # what it still sends does no harm
+            client.writer.write_eof()
+            assert await client.reader.read() == b""
+            await b.until(lambda: bed.sidecar.counters.bad_requests == 1)
+            assert bed.sidecar.counters.crashed == 0
+
+    b.run(work())
+
+
 def test_the_planned_end_answers_what_was_taken() -> None:
     async def work() -> None:
         gate = asyncio.Event()
