Watches wait 60 s; a starved backlog is emptied at the end; libraries log in JSON

Seen in a test with 27 places and 40 clients: the listener closed on 13 requests that lay in the backlog (Listener.close ignored that accepting had stopped for want of a place); it now goes on until the backlog is empty. A socket that dies between accept and its options no longer keeps its place. Exceptions in callbacks and library warnings are JSON lines too.

--- a/larkcrank/program/log.py
+++ b/larkcrank/program/log.py
@@ -1,5 +1,6 @@
 """The log: one JSON line an event, on standard error."""
 
+import logging
 import sys
 import time
 from typing import BinaryIO
@@ -39,6 +40,10 @@
             trace = trace.tb_next
         self.event("crashed", where=where, error=repr(error), trace=frames)
 
+    def take_over(self) -> None:
+        """Lines of the libraries become events too."""
+        logging.basicConfig(handlers=[_Forward(self)], level=logging.WARNING, force=True)
+
     def _write(self, name: str, fields: dict[str, object]) -> None:
         line = {"time": round(time.time(), 3), "sidecar": self._name, "event": name, **fields}
         try:
@@ -46,3 +51,12 @@
             self._out.flush()
         except OSError:
             return  # nobody reads the log: serving goes on
+
+
+class _Forward(logging.Handler):
+    def __init__(self, log: Log) -> None:
+        super().__init__()
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self._log.event("library", source=record.name, text=record.getMessage())
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -4,6 +4,7 @@
 import gc
 import signal
 from random import Random
+from typing import Any
 
 from larkcrank.config.sidecar import Config
 from larkcrank.core.balancer import Balancer
@@ -96,6 +97,12 @@
         """Ask for the planned end."""
         self._ending.set()
 
+    def _loop_failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """An exception that ended a callback: the loop goes on."""
+        self.counters.crashed += 1
+        error = context.get("exception") or RuntimeError(str(context.get("message")))
+        self.log.failure("loop", error)
+
     def show_counters(self) -> None:
         self.log.event("counters", **self.counters.shown())
 
@@ -104,6 +111,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.end)
         loop.add_signal_handler(signal.SIGUSR1, self.show_counters)
+        loop.set_exception_handler(self._loop_failed)
+        self.log.take_over()
         self.start()
         gc.collect()
         gc.freeze()  # what lives as long as the program need not be looked through again
@@ -112,13 +121,15 @@
         self.show_counters()
         self.log.event("ended")
 
-    def stop_listening(self) -> None:
-        """Take what the kernel has accepted, then nothing more."""
-        self._listener.close()
+    async def stop_listening(self) -> None:
+        """Take what the kernel has accepted, then nothing more. Answers make room where there is none."""
+        while not self._listener.finish():
+            await asyncio.sleep(LOOK_S)
+            self._clients.close_idle()
 
     def close(self) -> None:
         """Give back what a sidecar holds besides its clients' connections."""
-        self.stop_listening()
+        self._listener.close()
         self._discovery.close()
         self._pool.close()
 
@@ -132,7 +143,7 @@
             await asyncio.sleep(LOOK_S)
             if spent >= LEAVE_IDLE_S:
                 self._clients.close_idle()  # a request that crosses this finds the listener still open
-        self.stop_listening()
+        await self.stop_listening()
         while True:
             await asyncio.sleep(LOOK_S)  # what the last accept brought is read first
             if not self._clients.close_idle():
--- a/larkcrank/routing/discovery.py
+++ b/larkcrank/routing/discovery.py
@@ -10,7 +10,9 @@
 from larkcrank.transport.connection import Connecting, Connection, ConnectionLostError, NoRoomError
 from larkcrank.transport.descriptors import Descriptors, Use
 
-WATCH_MS = 20000
+# As long as discovery allows: each call costs it work, and what it has to tell counts as told soon after
+# the wait is over, arrived or not. A sidecar cut off from it is then held to drains it can't hear of.
+WATCH_MS = 60000
 SLACK_MS = 2500.0  # a call not answered so long after its wait is not answered at all
 FETCH_TIMEOUT_MS = 6000.0
 AGAIN_S = (0.5, 8.0)  # between watches that fail, where nobody else decides when to ask
--- a/larkcrank/transport/listener.py
+++ b/larkcrank/transport/listener.py
@@ -38,36 +38,49 @@
         if not self._closed:
             self._loop.add_reader(self._socket.fileno(), self._accept)
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
+        """Take all that waits; False where places ran out before."""
         while True:
             if not self._descriptors.take(Use.CLIENT):
                 self._descriptors.when_free(self._watch)
                 self._rest()
-                return
+                return False
             try:
                 sock, _ = self._socket.accept()
             except (BlockingIOError, InterruptedError):
                 self._descriptors.give_back(Use.CLIENT)
-                return
+                return True
             except ConnectionError:  # it went away while it waited
                 self._descriptors.give_back(Use.CLIENT)
                 continue
             except OSError:  # no descriptor after all: the count is not the whole truth
                 self._descriptors.give_back(Use.CLIENT)
                 self._rest()
-                return
-            self._accepted(wrap(sock, self._descriptors, Use.CLIENT))
+                return False
+            try:
+                connection = wrap(sock, self._descriptors, Use.CLIENT)
+            except OSError:  # it went away just now
+                sock.close()
+                self._descriptors.give_back(Use.CLIENT)
+                continue
+            self._accepted(connection)
 
     def _rest(self) -> None:
         """A listening socket that can't be served would wake the loop without end."""
         self._loop.remove_reader(self._socket.fileno())
         self._loop.call_later(REST_S, self._watch)
 
-    def close(self) -> None:
-        """Take what still waits, then accept nothing more."""
+    def finish(self) -> bool:
+        """Take what still waits, then accept nothing more; False where there was no place for all of it."""
         if self._closed:
-            return
-        self._accept()
-        self._closed = True
-        self._loop.remove_reader(self._socket.fileno())
-        self._socket.close()
+            return True
+        if not self._accept():
+            return False
+        self.close()
+        return True
+
+    def close(self) -> None:
+        if not self._closed:
+            self._closed = True
+            self._loop.remove_reader(self._socket.fileno())
+            self._socket.close()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,6 +1,8 @@
 """The program as it is started: the example, signals, counters and messages."""
 
+import io
 import json
+import logging
 import os
 import signal
 import socket
@@ -13,6 +15,7 @@
 
 import pytest
 
+from larkcrank.program.log import Log
 from larkcrank.protocol import http1
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -100,3 +103,16 @@
         with started("-m", "larkcrank", PROXY_CONFIG=str(path), PROXY_LISTEN=listen) as sidecar:
             assert "in use" in event(sidecar, "cannot_listen")["message"]
             assert sidecar.wait(20) == 1
+
+
+def test_warnings_of_libraries_are_log_lines_too() -> None:
+    out = io.BytesIO()
+    handlers, level = list(logging.root.handlers), logging.root.level
+    try:
+        Log("n0", out).take_over()
+        logging.getLogger("tornado.general").warning("odd %s", "thing")
+    finally:
+        logging.basicConfig(handlers=handlers, level=level, force=True)
+    (line,) = out.getvalue().splitlines()
+    found = json.loads(line)
+    assert (found["event"], found["source"], found["text"]) == ("library", "tornado.general", "odd thing")
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -428,7 +428,21 @@
             client = await bed.client()
             client.send("view")
             await client.writer.drain()
-            bed.sidecar.stop_listening()
+            await bed.sidecar.stop_listening()
             assert (await client.answer()).status == 200
 
     b.run(work())
+
+
+def test_at_the_end_what_waits_for_a_descriptor_is_served_too() -> None:
+    async def work() -> None:
+        async with b.bed(b.Endpoint("s-1"), sockets=64) as bed:  # places for 27 clients
+            clients = [await bed.client() for _ in range(40)]
+            await b.until(lambda: bed.sidecar.counters.connections == 27)
+            for client in clients:
+                client.send("view", 8.0)
+            await bed.sidecar.wind_down()
+            answers = [await client.answer() for client in clients]
+            assert len(answers) == bed.sidecar.counters.taken == 40
+
+    b.run(work())
