--- a/larkcrank/routing/exchange.py
+++ b/larkcrank/routing/exchange.py
@@ -93,8 +93,6 @@
     async def next_part(self) -> bytes | None:
         """The next part of the stream, None at its end."""
         while not self._parts:
-            if self.broken:
-                return None
             self._moved.clear()
             await self._moved.wait()
         part = self._parts.popleft()
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -84,6 +84,16 @@
     writer.close()
 
 
+def after(gate: asyncio.Event) -> Serve:
+    """Answer once the gate is open."""
+
+    async def wait(endpoint: "Endpoint", request: http1.Request, writer: Writer) -> None:
+        await gate.wait()
+        await say_ok(endpoint, request, writer)
+
+    return wait
+
+
 async def say_nothing(endpoint: "Endpoint", request: http1.Request, writer: Writer) -> None:
     return
 
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -25,6 +25,11 @@
 Decide = Callable[[api.Event], list[api.Action]]
 
 
+def send_on(event: api.Event) -> list[api.Action]:
+    """Each request goes to the one server there is."""
+    return [api.Send(event.id, b"s-1")] if isinstance(event, api.Request) else []
+
+
 class Scripted:
     """Decides as the test says, and sees that it is never entered twice."""
 
@@ -158,10 +163,7 @@
         one = b.Endpoint("s-1")
         await one.start()
 
-        def decide(event: api.Event) -> list[api.Action]:
-            return [api.Send(event.id, b"s-1")] if isinstance(event, api.Request) else []
-
-        stand = Stand(decide, one)
+        stand = Stand(send_on, one)
         stand.take()
         stand.tell(one, state=api.State.DRAINING)  # before the attempt's first step
         await b.until(lambda: bool(stand.decisions.seen(api.Outcome)))
@@ -317,10 +319,7 @@
         one = b.Endpoint("s-1")
         await one.start()
 
-        def decide(event: api.Event) -> list[api.Action]:
-            return [api.Send(event.id, b"s-1")] if isinstance(event, api.Request) else []
-
-        stand = Stand(decide, one)
+        stand = Stand(send_on, one)
         stand.pool.close()
         stand.servers._pool = stand.pool = Pool(Descriptors(256), keepalive_ms=40.0)
         await stand.take().first()
@@ -335,18 +334,11 @@
     async def work() -> None:
         gate = asyncio.Event()
 
-        async def wait(endpoint: b.Endpoint, request: http1.Request, writer: b.Writer) -> None:
-            await gate.wait()
-            await b.say_ok(endpoint, request, writer)
-
-        old, new = b.Endpoint("s-1", wait), b.Endpoint("s-1")
+        old, new = b.Endpoint("s-1", b.after(gate)), b.Endpoint("s-1")
         await old.start()
         await new.start()
 
-        def decide(event: api.Event) -> list[api.Action]:
-            return [api.Send(event.id, b"s-1")] if isinstance(event, api.Request) else []
-
-        stand = Stand(decide, old)
+        stand = Stand(send_on, old)
         first = stand.take()
         await b.until(lambda: len(old.requests) == 1)
         stand.tell(new)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -157,7 +157,7 @@
 
     async def work() -> None:
         one = b.Endpoint("s-1")
-        async with b.bed(one) as bed:
+        async with b.bed(one, bounds=CONFIG["bounds"] | {"keepalive-ms": 90000.0}) as bed:
             client = await bed.client()
             assert (await client.call("take", 8.0, "POST")).status == 200
             one.writers[0].close()
@@ -394,11 +394,7 @@
     async def work() -> None:
         gate = asyncio.Event()
 
-        async def wait(endpoint: b.Endpoint, request: http1.Request, writer: b.Writer) -> None:
-            await gate.wait()
-            await b.say_ok(endpoint, request, writer)
-
-        async with b.bed(b.Endpoint("s-1", wait)) as bed:
+        async with b.bed(b.Endpoint("s-1", b.after(gate))) as bed:
             running, idle = await bed.client(), await bed.client()
             running.send("view")
             await b.until(lambda: bed.sidecar.counters.taken == 1)
