With no known list, discovery is asked at the start and not at the first request

Seen on following the README: 'holding: no quota left on any of 0 servers' a second after the start, though discovery was up; the list came with the first request. Ruled out: discovery and its call (answered at once when asked). At fault: Sidecar.start fed the balancer nothing where no list is known, and it sets its timer, by which it asks, on its first event. It is told an empty list now. The test hangs without it.

--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -11,7 +11,7 @@
 from larkcrank.program.clock import Clock
 from larkcrank.program.counters import Counters
 from larkcrank.program.log import Log
-from larkcrank.protocol.discovery import Names
+from larkcrank.protocol.discovery import Listing, Names
 from larkcrank.routing.clients import Clients
 from larkcrank.routing.discovery import Discovery
 from larkcrank.routing.driver import Driver
@@ -84,14 +84,16 @@
     def start(self) -> None:
         """Serve from now on, by the list as last held until discovery answers."""
         known = self._discovery.start_from(self._known) if self._known else None
-        if known is not None:
-            self._driver.told(known, cached=True)
+        if known is None:
+            known = Listing(0, True, ())
+        # Also where none is known: the balancer sets its timer, by which it asks, on its first event.
+        self._driver.told(known, cached=True)
         if self._always_watch:
             self._discovery.watch()
         self._clock.beat()
         self._listener.start()
         host, port = self.place
-        self.log.event("ready", listen=f"{host}:{port}", known=len(known.endpoints) if known else 0)
+        self.log.event("ready", listen=f"{host}:{port}", known=len(known.endpoints))
 
     def end(self) -> None:
         """Ask for the planned end."""
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -55,6 +55,17 @@
     b.run(work())
 
 
+def test_without_a_known_list_discovery_is_asked_before_any_request() -> None:
+    async def work() -> None:
+        one = b.Endpoint("s-1")
+        async with b.bed(one, known=False) as bed:
+            await b.until(lambda: bed.sidecar.counters.lists > 0)
+            assert bed.discovery.targets[0] == b"/registry/instances"
+            assert (await (await bed.client()).call("view")).status == 200
+
+    b.run(work())
+
+
 def test_requests_sent_ahead_are_answered_in_turn() -> None:
     async def work() -> None:
         async with b.bed(b.Endpoint("s-1")) as bed:
