After the end nothing is asked of discovery any more

Seen once in twelve test runs side by side: a warning that a watch was dropped half-way. The last requests' ends are told to the balancer, which may ask for a watch on that (Discovery.watch began one after close).

--- a/larkcrank/routing/discovery.py
+++ b/larkcrank/routing/discovery.py
@@ -53,6 +53,7 @@
         self._generation: int | None = None
         self._watch: asyncio.Task[None] | None = None
         self._fetch: asyncio.Task[None] | None = None
+        self._closed = False
         self.on_list: Callable[[Listing], None] = lambda _: None
         self.on_failure: Callable[[str], None] = lambda _: None
 
@@ -70,14 +71,18 @@
         if not on:
             if self._watch is not None:
                 self._watch.cancel()
+        elif self._closed:
+            return  # the last requests still end, and the balancer may ask on that
         elif self._watch is None or self._watch.done():
             self._watch = asyncio.get_running_loop().create_task(self._keep_watching())
 
     def fetch(self) -> None:
-        if self._fetch is None or self._fetch.done():
+        if not self._closed and (self._fetch is None or self._fetch.done()):
             self._fetch = asyncio.get_running_loop().create_task(self._fetch_once())
 
     def close(self) -> None:
+        """End what is under way; nothing is asked any more."""
+        self._closed = True
         for task in (self._watch, self._fetch):
             if task is not None:
                 task.cancel()
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -295,6 +295,10 @@
         assert toy.targets[0] == b"/registry/instances"
         assert toy.targets[2].startswith(b"/registry/instances?after=2&wait_ms=")
         discovery.close()
+        before = asyncio.all_tasks()
+        discovery.watch()
+        discovery.fetch()
+        assert asyncio.all_tasks() == before  # at the end nothing is begun
         await toy.stop()
 
     b.run(work())
