As few as 32 descriptors are enough to start and serve

A limit under 64 ended the program at its start: a crash where it could serve. The reserve is at most 0.4 of the limit now.

--- a/larkcrank/config/sidecar.py
+++ b/larkcrank/config/sidecar.py
@@ -11,7 +11,7 @@
 from larkcrank.config.settings import SettingsError, Site, convert
 from larkcrank.protocol.discovery import host_port
 
-LEAST_SOCKETS = 64
+LEAST_SOCKETS = 32
 
 
 class ConfigError(Exception):
--- a/larkcrank/transport/descriptors.py
+++ b/larkcrank/transport/descriptors.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 from enum import Enum
 
-RESERVE = 32  # for standard streams, the loop's own, and a margin
+RESERVE = 32  # for standard streams, the loop's own, and a margin ...
+RESERVE_SHARE = 0.4  # ... but not more than this of few: about a dozen are really in use
 
 
 class Use(Enum):
@@ -18,7 +19,7 @@
     """Counts sockets. Each is taken here before it is opened and given back once, when it is closed."""
 
     def __init__(self, limit: int) -> None:
-        self._room = limit - RESERVE
+        self._room = limit - min(RESERVE, int(limit * RESERVE_SHARE))
         self._used = dict.fromkeys(Use, 0)
         self._spares: dict[Use, Callable[[], bool]] = {}
         self._waiting: set[Callable[[], None]] = set()
