--- a/tests/bed.py
+++ b/tests/bed.py
@@ -255,7 +255,7 @@
 ) -> AsyncIterator[Bed]:
     """A sidecar that knows these endpoints from its start on."""
     for endpoint in endpoints:
-        if not endpoint.port:
+        if not endpoint.port:  # one with a port is played by the test itself
             await endpoint.start()
     discovery = ToyDiscovery(list(endpoints))
     await discovery.start()
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -447,3 +447,32 @@
             ]
 
     b.run(work())
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        http1.response_bytes(503, (), b""),
+        http1.response_bytes(200, (), b"no list"),
+        http1.response_bytes(200, (), b'{"generation":1,"instances":[{"instanceId":"a","lifecycle":"Odd"}]}'),
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nshort",
+        b"nonsense\r\n\r\n",
+    ],
+)
+def test_an_answer_of_discovery_that_is_no_list_is_a_failure(text: bytes) -> None:
+    async def work() -> None:
+        async def answer(reader: b.Reader, writer: b.Writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(text)
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        place = ("127.0.0.1", server.sockets[0].getsockname()[1])
+        discovery, lists, failures = await watched(place, always=False)
+        discovery.watch()
+        await b.until(lambda: len(failures) == 1)
+        assert not lists
+        discovery.close()
+        server.close()
+
+    b.run(work())
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -475,3 +475,43 @@
                 assert (await client.answer()).status == 200
 
     b.run(work())
+
+
+def test_a_machine_that_says_nothing_to_a_connect_proves_that_nothing_ran() -> None:
+    """An unsafe request moves on once the connection has not come up in time."""
+
+    async def work() -> None:
+        with socket.socket() as full:
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            waiting = [socket.socket() for _ in range(4)]
+            for sock in waiting:  # what is beyond the backlog gets no word
+                sock.setblocking(False)
+                sock.connect_ex(full.getsockname())
+            cut_off, good = b.Endpoint("s-1"), b.Endpoint("s-2")
+            cut_off.port = full.getsockname()[1]
+            bounds = CONFIG["bounds"] | {"connect-timeout-ms": 30.0}
+            async with b.bed(cut_off, good, bounds=bounds) as bed:
+                client = await bed.client()
+                for _ in range(4):
+                    assert (await client.call("take", 8.0, "POST")).status == 200
+                outcomes = bed.sidecar.counters.outcomes
+                assert outcomes["connect failed"] > 0 and outcomes["timeout"] == 0
+            for sock in waiting:
+                sock.close()
+
+    b.run(work())
+
+
+def test_many_clients_at_once_all_get_one_answer() -> None:
+    async def work() -> None:
+        async with b.bed(*(b.Endpoint(f"s-{number}") for number in range(4)), sockets=128) as bed:
+            clients = [await bed.client() for _ in range(200)]
+            for client in clients:
+                client.send("view", 8.0)
+            answers = await asyncio.gather(*(client.answer() for client in clients))
+            counters = bed.sidecar.counters
+            assert counters.taken == len(answers) == counters.served + counters.refused
+            assert counters.served > 0 and counters.overdue == counters.crashed == 0
+
+    b.run(work())
