A time-out proves nothing from an attempt's first byte on; requests sent ahead keep their time

Seen on rereading: a timer that fired between the kernel taking the last byte and the writer being told reported 'could not connect' (Servers._time_out looked at 'written', which the coroutine sets one turn of the loop later): proof that an unsafe request never ran, where it may have. And a request sent ahead on its connection had its time counted from when its forerunner was answered (Clients._exchange).

--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -87,12 +87,11 @@
         """Those that were served first; one that sent nothing yet only when it has had its time."""
         idle = [visit for visit in self._open.values() if visit.is_idle()]
         old = asyncio.get_running_loop().time() - SILENT_S
-        for visit in [visit for visit in idle if visit.served] + [
-            visit for visit in idle if visit.came < old
-        ]:
-            visit.connection.close()
-            return True
-        return False
+        idle.sort(key=lambda visit: not visit.served)
+        spare = next((visit for visit in idle if visit.served or visit.came < old), None)
+        if spare is not None:
+            spare.connection.close()
+        return spare is not None
 
     async def _serve(self, visit: "_Visit") -> None:
         connection = visit.connection
@@ -122,15 +121,19 @@
                 continued = True
                 await connection.write(http1.CONTINUE)
             if not parser.begun:
-                parser.feed(await connection.read())
+                await self._read(visit)
                 continue
             try:
                 async with asyncio.timeout(PART_TIMEOUT_S):
-                    parser.feed(await connection.read())
+                    await self._read(visit)
             except TimeoutError:
                 raise http1.MessageError(408, "request not whole in time") from None
         return request
 
+    async def _read(self, visit: "_Visit") -> None:
+        visit.parser.feed(await visit.connection.read())
+        visit.read_at = self._came_at()
+
     async def _handle(self, visit: "_Visit", request: http1.Request) -> bool:
         """Answer one request; False where the connection ends with it."""
         visit.busy = True
@@ -144,7 +147,7 @@
             status = 503 if self._closing else 200
             return await self._write(visit, request, status, (), b"")
         try:
-            exchange = self._exchange(request)
+            exchange = self._exchange(request, visit.read_at)
         except http1.MessageError as error:
             self._tally.bad_requests += 1
             return await self._write(visit, request, error.status, (), str(error).encode())
@@ -169,7 +172,7 @@
             either: set[asyncio.Future[Any]] = {first, pending}
             await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
             if pending.done() and not first.done():
-                visit.parser.feed(await connection.read())
+                await self._read(visit)
         answer = first.result()
         if isinstance(answer, StreamAnswer):
             return await self._write_stream(visit, request, exchange, answer)
@@ -201,7 +204,7 @@
         """Whether the connection ends with this answer: it is asked to, or its place is wanted."""
         return self._closing or self._descriptors.wanted or not request.keep_alive
 
-    def _exchange(self, request: http1.Request) -> Exchange:
+    def _exchange(self, request: http1.Request, came_at: float) -> Exchange:
         call = platform.read_call(request)
         index, cls = self._class_of(request, call)
         if cls.effect is Effect.KEYED and not call.has_key:
@@ -209,7 +212,6 @@
         if self._tenants and call.owner and call.owner not in self._tenants:
             raise http1.MessageError(400, "unknown Req-Owner")
         wait_ms = cls.deadline_ms if call.wait_ms is None else call.wait_ms
-        came_at = self._came_at()
         return Exchange(
             id=self._desk.next_id(),
             cls=index,
@@ -248,13 +250,14 @@
 class _Visit:
     """One of the application's connections."""
 
-    __slots__ = ("busy", "came", "connection", "parser", "served", "task")
+    __slots__ = ("busy", "came", "connection", "parser", "read_at", "served", "task")
 
     def __init__(self, connection: Connection) -> None:
         self.connection = connection
         self.parser = http1.RequestParser()
         self.busy = False  # from a request's last byte in to its answer's last byte out
         self.came = asyncio.get_running_loop().time()
+        self.read_at = 0.0  # when what was read last can have come: a request sent ahead waits on our side
         self.served = False
         self.task: asyncio.Task[None] | None = None
 
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -32,6 +32,7 @@
     __slots__ = (
         "_report",
         "address",
+        "begun",
         "connection",
         "ended",
         "exchange",
@@ -52,7 +53,8 @@
         self.exchange, self.index, self.address, self.started = exchange, index, address, started
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.written = False
+        self.begun = False  # its first byte was handed over
+        self.written = False  # and its last one
         self.ended = False
         self._report = report
 
@@ -164,7 +166,8 @@
 
     @staticmethod
     def _time_out(attempt: Attempt) -> None:
-        attempt.end(Result.TIMEOUT if attempt.written else Result.CONNECT_FAILED)
+        # From the first byte on: whether the kernel has just taken the last one is not known here yet.
+        attempt.end(Result.TIMEOUT if attempt.begun else Result.CONNECT_FAILED)
 
     async def _run(self, attempt: Attempt, stop_at: float) -> None:
         try:
@@ -193,6 +196,7 @@
             attempt.end(Result.NOT_SENT)
             return
         self._tally.sends += 1
+        attempt.begun = True
         await connection.write(platform.request_to_endpoint(exchange.request, stop_at - self._now()))
         if attempt.ended:
             return
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -250,6 +250,39 @@
     b.run(work())
 
 
+@pytest.mark.parametrize("hangs_in", ["write", "connect"])
+def test_a_time_out_proves_that_nothing_ran_only_before_the_first_byte(
+    monkeypatch: pytest.MonkeyPatch, hangs_in: str
+) -> None:
+    """The last byte may be with the kernel when the timer comes, before the writer is told."""
+
+    async def work() -> None:
+        async def hang(*_: object) -> None:
+            await asyncio.get_running_loop().create_future()
+
+        if hangs_in == "write":
+            monkeypatch.setattr("larkcrank.transport.connection.Connection.write", hang)
+        else:
+            monkeypatch.setattr("larkcrank.transport.connection.Connecting.wait", hang)
+        one = b.Endpoint("s-1")
+        await one.start()
+
+        def decide(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Request):
+                return [api.Send(event.id, b"s-1", stop_at_ms=stand.clock() + 20.0)]
+            return []
+
+        stand = Stand(decide, one)
+        stand.take()
+        await b.until(lambda: bool(stand.decisions.seen(api.Outcome)))
+        (outcome,) = stand.decisions.seen(api.Outcome)
+        assert isinstance(outcome, api.Outcome)
+        assert outcome.result is (api.Result.TIMEOUT if hangs_in == "write" else api.Result.CONNECT_FAILED)
+        await one.stop()
+
+    b.run(work())
+
+
 @pytest.mark.parametrize(("up", "result"), [(True, api.Result.OK), (False, api.Result.CONNECT_FAILED)])
 def test_a_probe_asks_the_server_itself(up: bool, result: api.Result) -> None:
     async def work() -> None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -82,6 +82,24 @@
     b.run(work())
 
 
+def test_a_request_sent_ahead_has_its_time_from_when_it_came() -> None:
+    async def work() -> None:
+        gate = asyncio.Event()
+        one = b.Endpoint("s-1", b.after(gate))
+        async with b.bed(one) as bed:
+            client = await bed.client()
+            for _ in range(2):
+                client.send("view", 8.0)
+            await b.until(lambda: len(one.requests) == 1)
+            await asyncio.sleep(0.2)
+            gate.set()
+            await b.until(lambda: len(one.requests) == 2)
+            first, second = (float(came.fields.one(b"req-deadline") or 0) for came in one.requests)
+            assert second < first - 0.19  # it slept so long at least
+
+    b.run(work())
+
+
 @pytest.mark.parametrize(
     ("kind", "serve", "status"),
     [
