--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -47,12 +47,15 @@
     async def read(self) -> bytes:
         """Some bytes. Raises `ConnectionLostError` at the end."""
         pending = self.start_read()
+        if pending.cancelled():
+            raise ConnectionLostError("a reader gave up before")
         try:
-            # Shielded: a reader that stops waiting must not leave a dead read in the stream's way.
-            data = await asyncio.shield(pending)
+            data = await pending
         except StreamClosedError as error:
             self._reading = None
             raise ConnectionLostError(str(error.real_error or "closed")) from None
+        # A reader that gives up leaves its dead read here: the stream can't begin another one. (A shield
+        # would spare it, for one more turn of the loop on every read.)
         self._reading = None
         return data
 
