--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -30,6 +30,18 @@
     return [api.Send(event.id, b"s-1")] if isinstance(event, api.Request) else []
 
 
+def send_for(wait_ms: float) -> Decide:
+    """The same, each attempt for so long."""
+    clock = Clock()
+
+    def decide(event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.Request):
+            return [api.Send(event.id, b"s-1", stop_at_ms=clock() + wait_ms)]
+        return []
+
+    return decide
+
+
 class Scripted:
     """Decides as the test says, and sees that it is never entered twice."""
 
@@ -87,6 +99,13 @@
         self.driver.take(exchange)
         return exchange
 
+    async def outcome(self) -> api.Outcome:
+        """The one outcome that was told, once it was."""
+        await b.until(lambda: bool(self.decisions.seen(api.Outcome)))
+        (outcome,) = self.decisions.seen(api.Outcome)
+        assert isinstance(outcome, api.Outcome)
+        return outcome
+
     def logged(self) -> list[str]:
         return [json.loads(line)["event"] for line in self.log.getvalue().splitlines()]
 
@@ -166,9 +185,8 @@
         stand = Stand(send_on, one)
         stand.take()
         stand.tell(one, state=api.State.DRAINING)  # before the attempt's first step
-        await b.until(lambda: bool(stand.decisions.seen(api.Outcome)))
-        (outcome,) = stand.decisions.seen(api.Outcome)
-        assert isinstance(outcome, api.Outcome) and outcome.result is api.Result.NOT_SENT
+        outcome = await stand.outcome()
+        assert outcome.result is api.Result.NOT_SENT
         assert not one.requests and stand.counters.sends == 0
         await one.stop()
 
@@ -189,9 +207,7 @@
 
         stand = Stand(decide, one)
         exchange = stand.take()
-        await b.until(lambda: bool(stand.decisions.seen(api.Outcome)))
-        (outcome,) = stand.decisions.seen(api.Outcome)
-        assert isinstance(outcome, api.Outcome)
+        outcome = await stand.outcome()
         assert (outcome.result, outcome.closed) == (api.Result.NOT_SENT, True)
         assert not one.requests and exchange.attempts == 1
         await one.stop()
@@ -234,16 +250,9 @@
         one = b.Endpoint("s-1", b.say_nothing)
         await one.start()
 
-        def decide(event: api.Event) -> list[api.Action]:
-            if isinstance(event, api.Request):
-                return [api.Send(event.id, b"s-1", stop_at_ms=stand.clock() + 20.0)]
-            return []
-
-        stand = Stand(decide, one)
+        stand = Stand(send_for(20.0), one)
         stand.take()
-        await b.until(lambda: bool(stand.decisions.seen(api.Outcome)))
-        (outcome,) = stand.decisions.seen(api.Outcome)
-        assert isinstance(outcome, api.Outcome)
+        outcome = await stand.outcome()
         assert (outcome.result, outcome.closed) == (api.Result.TIMEOUT, False)
         await one.stop()
 
@@ -267,16 +276,9 @@
         one = b.Endpoint("s-1")
         await one.start()
 
-        def decide(event: api.Event) -> list[api.Action]:
-            if isinstance(event, api.Request):
-                return [api.Send(event.id, b"s-1", stop_at_ms=stand.clock() + 20.0)]
-            return []
-
-        stand = Stand(decide, one)
+        stand = Stand(send_for(20.0), one)
         stand.take()
-        await b.until(lambda: bool(stand.decisions.seen(api.Outcome)))
-        (outcome,) = stand.decisions.seen(api.Outcome)
-        assert isinstance(outcome, api.Outcome)
+        outcome = await stand.outcome()
         assert outcome.result is (api.Result.TIMEOUT if hangs_in == "write" else api.Result.CONNECT_FAILED)
         await one.stop()
 
@@ -448,12 +450,7 @@
         one = b.Endpoint("s-1")
         await one.start()
 
-        def decide(event: api.Event) -> list[api.Action]:
-            if isinstance(event, api.Request):
-                return [api.Send(event.id, b"s-1", stop_at_ms=stand.clock() + 300.0)]
-            return []
-
-        stand = Stand(decide, one)
+        stand = Stand(send_for(300.0), one)
         first, second = stand.take(), stand.take()
         await asyncio.gather(first.first(), second.first())
         assert len(stand.pool) == 2
