A list line that makes no sense takes its server out and hides no other

Seen on rereading: one line with an unknown lifecycle or no readable address failed the whole list (discovery.parse), at every call anew, so a sidecar would have followed no change at all. And an exception in what reads a list ended the watch without word (Discovery._ask), after which nobody asks again.

--- a/larkcrank/protocol/discovery.py
+++ b/larkcrank/protocol/discovery.py
@@ -63,13 +63,14 @@
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise ListError(f"server list: {error}") from None
     endpoints, places = [], {}
-    for index, line in enumerate(told.instances):
-        state = _STATES.get(line.lifecycle)
-        if state is None:
-            raise ListError(f"server list: unknown lifecycle {line.lifecycle!r} - at `$.instances[{index}]`")
+    for line in told.instances:
+        # One line that makes no sense must not hide the others: such a server gets nothing new.
+        state = _STATES.get(line.lifecycle, State.DRAINING)
         address = line.instance_id.encode()
-        if state is not State.GONE:
-            places[address] = _place(line.host_port, index)
+        try:
+            places[address] = host_port(line.host_port)
+        except ValueError:
+            state = State.GONE if state is State.GONE else State.DRAINING
         endpoints.append(
             Endpoint(
                 address=address,
@@ -84,15 +85,6 @@
     return Listing(told.generation, told.reset, tuple(endpoints), places)
 
 
-def _place(text: str, index: int) -> tuple[str, int]:
-    try:
-        return host_port(text)
-    except ValueError:
-        raise ListError(
-            f"server list: {text!r} is no host:port - at `$.instances[{index}].hostPort`"
-        ) from None
-
-
 def host_port(text: str, lowest: int = 1) -> tuple[str, int]:
     host, colon, port = text.rpartition(":")
     if not colon or not host or not port.isdecimal() or not lowest <= int(port) < 65536:
--- a/larkcrank/routing/discovery.py
+++ b/larkcrank/routing/discovery.py
@@ -121,6 +121,11 @@
             if response.status != 200:
                 raise ConnectionLostError(f"answered {response.status}")
             listing = discovery.parse(response.body, self._names)
+            if target == discovery.LIST_TARGET and not listing.whole:
+                listing = Listing(listing.generation, True, listing.endpoints, listing.places)
+            self._generation = listing.generation
+            self._tally.lists += 1
+            self.on_list(listing)
         except (
             ConnectionLostError,
             NoRoomError,
@@ -132,17 +137,12 @@
             self._tally.discovery_failures += 1
             self.on_failure(str(error) or type(error).__name__)
             return False
-        except Exception as error:
+        except Exception as error:  # told as a failure, or nobody would ever ask again
             line.close()
             self._tally.crashed += 1
             self._failed("discovery", error)
             self.on_failure(str(error))
             return False
-        if target == discovery.LIST_TARGET and not listing.whole:
-            listing = Listing(listing.generation, True, listing.endpoints, listing.places)
-        self._generation = listing.generation
-        self._tally.lists += 1
-        self.on_list(listing)
         return True
 
 
