A cold server gets its surely bearable part, also while others are closed

So the warm remainder carried the load of the new. On thin traffic with some servers always closed, the turn of a cold one almost never came without a closed server passed on the way, which _pick and _open asked for (Balancer._own_turn).

Change: a quota for a cold server, filled by its even share of what this instance takes times the part that it surely can do, at most one send saved and begun at a random part. Whoever else is closed, all sidecars together stay under the same bound as before.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -133,6 +133,8 @@
     benched_until: float = -math.inf  # no turns
     size: float = 1.0  # as listed, 1: the mean
     wary_until: float = -math.inf  # turns only where no other server has quota
+    cold_credit: float = 1.0  # sends left of what it surely can do while it is cold ...
+    cold_at: float = 0.0  # ... counted up to here
 
 
 @dataclass(slots=True, eq=False)
@@ -181,7 +183,7 @@
         self._window = self._even = self._span = self._owe_each = self._owe_all = self._largest = 1.0
         self._tenants = [Meter(now) for _ in settings.tenants]
         self._worth, self._taken = 0.0, 0  # mean worth of a request, and how many there were
-        self._retries, self._thin, self._own_turn = RETRY_SAVED, True, True
+        self._retries, self._thin = RETRY_SAVED, True
         # All start or fail together: calls are spread, or most time out and come again as a herd.
         self._spread = min(ASK_EACH_MS * settings.instances, ASK_AGAIN_MS[1])
         self._ask_at, self._ask_wait, self._wake = math.inf, max(self._spread, ASK_AGAIN_MS[0]), -math.inf
@@ -276,22 +278,28 @@
         due = self._owe_each * (server.size if self._thin else 1.0)
         if server.owes and (server.fails or len(server.owes) + 1 > due + CHANCE_OWED * math.sqrt(due)):
             return False  # one trial at a time; and what is owed beyond chance counts against the quota
-        cold = self._set.warm_after_ms - (self._now - server.endpoint.started_at)
-        if server.endpoint.started_at and cold > 0:  # rule 4: at even turns, the part that it surely can do
-            sure = 1 - (1 - self._set.cold_from) * min(cold / self._set.warm_after_ms, 1.0)
-            if not self._own_turn or self._rng.random() >= COLD_CAUTION * sure:
-                return False
+        if not self._is_warm_enough(server):
+            return False
         return self._brake(server).has_quota(self._now, self._window, self._span)
 
+    def _is_warm_enough(self, server: Server) -> bool:
+        """Rule 4: a cold server gets the part of its even share that it surely can do, no more."""
+        cold = self._set.warm_after_ms - (self._now - server.endpoint.started_at)
+        if not server.endpoint.started_at or cold <= 0:
+            return True
+        sure = 1 - (1 - self._set.cold_from) * min(cold / self._set.warm_after_ms, 1.0)
+        rate = COLD_CAUTION * sure * self._even * (server.size if self._thin else 1.0)
+        server.cold_credit = min(server.cold_credit + rate * (self._now - server.cold_at), 1.0)
+        server.cold_at = self._now
+        return server.cold_credit >= 1.0
+
     def _pick(self, job: Job) -> Server | None:
         """The next server in turn with quota left that this request may go to."""
-        count, second, self._own_turn = len(self._ring), -1, self._now == job.came_at
+        count, second = len(self._ring), -1
         looked = min(count, LOOK_MOST)  # work for an event must not grow with the fleet
         for index in (step % count for step in range(self._turn, self._turn + looked)):
             server = self._ring[index]
-            if not self._open(server):
-                self._own_turn = False  # what comes after a closed server has its turn early
-            elif self._may_go(job, server):
+            if self._open(server) and self._may_go(job, server):
                 # On thin traffic a server of half the size gets every second turn.
                 server.passed = server.passed % 1.0 + (server.size / self._largest if self._thin else 1.0)
                 if server.passed >= 1.0 and server not in job.tried and self._now >= server.wary_until:
@@ -365,6 +373,7 @@
         job.sends += 1
         job.tried.append(server)
         server.owes.append(attempt)
+        server.cold_credit = max(server.cold_credit - 1.0, 0.0)
         self._sends.add(self._now, RATE_MS)
         brake = self._brake(server)
         brake.credit = max(brake.credit - 1.0, 0.0)  # no debt from when nothing bound
@@ -456,8 +465,9 @@
                 self._servers.pop(endpoint.address, None)
             elif known is None or known.endpoint.started_at != endpoint.started_at:
                 brake = Brake(self._now, Meter(self._now), Meter(self._now), Meter(self._now))
-                place, passed = self._rng.random(), self._rng.random()
-                self._servers[endpoint.address] = Server(endpoint, brake, place, passed)
+                place, passed, credit = self._rng.random(), self._rng.random(), self._rng.random()
+                server = Server(endpoint, brake, place, passed, cold_credit=credit, cold_at=self._now)
+                self._servers[endpoint.address] = server
             else:
                 known.endpoint = endpoint
         # An order of its own: who follows a skipped server gets its turns too, at each instance another.
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -742,6 +742,26 @@
     assert cold <= 0.5 * even + 1 and warm >= 0.8 * even
 
 
+def test_a_cold_server_gets_its_part_while_others_are_closed() -> None:
+    # It was taken only where no closed server had been passed on the way: with a few of those in the ring new
+    # servers stood idle, and the warm ones carried their load as well.
+    desk = Desk(servers=9, cold_from=0.33, warm_after_ms=8000.0, fall_multiple=4.0, fall_ms=2000.0)
+    desk.warm(200, gap=20.0)
+    desk.do(ServerList((Endpoint(address(9), started_at=desk.now),), complete=False))
+    ring = desk.balancer._ring
+    place = next(i for i, server in enumerate(ring) if server.endpoint.address == address(9))
+    for step in (1, 2, 3):  # the three before it
+        ring[place - step].benched_until = 1e9
+    seen: list[bytes] = []
+    for _ in range(200):
+        number, actions = desk.take()
+        seen += sends(actions)
+        desk.wait(20.0)
+        desk.end(number, elapsed=20.0)
+    even = 200 / 10
+    assert 0.25 * even <= seen.count(address(9)) <= 0.5 * even + 1
+
+
 def test_a_server_that_restarts_is_cold_again() -> None:
     desk = Desk(servers=2, warm_after_ms=8000.0, cold_from=0.3)
     desk.warm()
