An instance of many keeps to about nine servers, shared by six others or more

Harmless in one sidecar, harmful in 40.

So the cause lay in how many meet how many.

Change: Balancer._part. The ring holds the ready servers whose run of instance numbers has this one: no shared state, even sharing, little change when the list changes. Acts only where both are many; elsewhere all meet as before.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -7,6 +7,7 @@
 import bisect
 import heapq
 import math
+import zlib
 from dataclasses import dataclass, field
 from random import Random
 
@@ -40,6 +41,9 @@
 THIN_SENDS = 0.1  # sends a window to a mean server; under it its own limit never learns in time
 MEMORY_MS = 30000.0  # a late server is second choice this long on thin traffic: troubles last tens of seconds
 BENCH_DOUBLINGS = 4  # a failing server is left alone for 1, 2, 4 ... overdue times, doubled so often
+PART_SERVERS = 9  # an instance of many keeps to about so many servers ...
+PART_SHARERS = 6  # ... as long as so many instances share each server ...
+PART_LEAST = 6  # ... and it has this many ready ones
 LOOK_MOST = 64  # servers looked at for one request in one event
 RETRY_SHARE = 0.2  # further attempts allowed, as a share of requests taken
 RETRY_SAVED = 10.0  # further attempts that a quiet time may save up
@@ -471,9 +475,20 @@
             else:
                 known.endpoint = endpoint
         # An order of its own: who follows a skipped server gets its turns too, at each instance another.
-        ready = (server for server in self._servers.values() if server.endpoint.state is State.READY)
-        self._ring = sorted(ready, key=lambda server: server.place)
+        self._ring = sorted(self._part(), key=lambda server: server.place)
         sizes = [server.endpoint.size if self._set.listed_sizes else 1.0 for server in self._ring]
         for server, size in zip(self._ring, sizes, strict=True):
             server.size = size * len(sizes) / sum(sizes)
         self._largest = max((server.size for server in self._ring), default=1.0)
+
+    def _part(self) -> list[Server]:
+        """The ready servers that this instance keeps to: all, but where many instances meet many servers."""
+        ready = [server for server in self._servers.values() if server.endpoint.state is State.READY]
+        count = max(self._set.instances, 1)
+        sharers = max(round(PART_SERVERS / max(len(self._servers), 1) * count), PART_SHARERS)
+        if sharers >= count:
+            return ready
+        # Each server is shared by the same number of instances, a run of their numbers that begins anywhere.
+        after = {id(s): (zlib.crc32(s.endpoint.address) + self._set.ordinal) % count for s in ready}
+        ready.sort(key=lambda server: after[id(server)])
+        return ready[: max(sum(where < sharers for where in after.values()), PART_LEAST)]
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -5,6 +5,7 @@
 import random
 import subprocess
 import sys
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -711,7 +712,7 @@
     # New servers stood together at the end of each ring: the one after them got the turns of all.
     got = dict.fromkeys((address(i) for i in range(10)), 0)
     for seed in range(200):
-        desk = Desk(servers=10, seed=seed, instances=200, cold_from=0.01, warm_after_ms=8000.0)
+        desk = Desk(servers=10, seed=seed, ordinal=seed, instances=200, cold_from=0.01, warm_after_ms=8000.0)
         new = tuple(Endpoint(address(10 + i), started_at=1.0) for i in range(10))
         desk.do(ServerList(new, complete=False))
         for where in desk.turns(3, gap=100.0):
@@ -720,6 +721,54 @@
     assert max(got.values()) <= 1.5 * sum(got.values()) / len(got)
 
 
+def parts(instances: int, servers: int, but: int = -1) -> list[set[bytes]]:
+    """The servers that each instance keeps to; one may be missing on the list."""
+    lines = tuple(Endpoint(b"s-%08x" % (i * 2654435761 % 2**32)) for i in range(servers) if i != but)
+    found = []
+    for ordinal in range(instances):
+        desk = Desk(servers=0, seed=ordinal, instances=instances, ordinal=ordinal)
+        desk.do(ServerList(lines, complete=True))
+        found.append({server.endpoint.address for server in desk.balancer._ring})
+    return found
+
+
+@pytest.mark.parametrize(("instances", "servers"), [(40, 60), (300, 36), (400, 1000)])
+def test_many_instances_each_keep_to_a_part_and_share_every_server_evenly(
+    instances: int, servers: int
+) -> None:
+    # Each of 40 held a connection to each of 60: a handshake for every second request at a start, and a
+    # server met once in three seconds, of which no limit learns in time.
+    found = parts(instances, servers)
+    shares = Counter(address for part in found for address in part)
+    each = max(round(module.PART_SERVERS / servers * instances), module.PART_SHARERS)
+    assert len(shares) == servers and min(shares.values()) >= each
+    assert sum(shares.values()) <= 1.2 * each * servers
+    assert all(module.PART_LEAST <= len(part) <= 3 * each * servers / instances for part in found)
+
+
+def test_a_part_hardly_changes_when_one_server_goes() -> None:
+    # Else each change of the list would be a storm of handshakes.
+    before, after = parts(40, 60), parts(40, 60, but=7)
+    moved = sum(len(new - old) for old, new in zip(before, after, strict=True))
+    assert moved <= 40
+
+
+@pytest.mark.parametrize(("instances", "servers"), [(6, 60), (40, 9), (1, 100)])
+def test_few_instances_or_few_servers_all_meet(instances: int, servers: int) -> None:
+    assert all(len(part) == servers for part in parts(instances, servers))
+
+
+def test_a_part_that_loses_its_servers_takes_the_next_ones() -> None:
+    # A lost zone may hold most of a small part: the rest would be crushed by this instance.
+    lines = [Endpoint(b"s-%08x" % (i * 2654435761 % 2**32)) for i in range(60)]
+    desk = Desk(servers=0, instances=40, ordinal=3)
+    desk.do(ServerList(tuple(lines), complete=True))
+    own = [server.endpoint.address for server in desk.balancer._ring]
+    desk.do(ServerList(tuple(Endpoint(address, State.DRAINING) for address in own[1:]), complete=False))
+    assert len(desk.balancer._ring) >= module.PART_LEAST
+    assert own[0] in {server.endpoint.address for server in desk.balancer._ring}
+
+
 def test_work_for_one_event_does_not_grow_with_the_number_of_servers() -> None:
     def looks(servers: int) -> int:
         desk = Desk(servers=0)
