--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -185,6 +185,7 @@
         self._recent = list(self._usual)
         self._arrivals, self._sends, self._served = Meter(now), Meter(now), Meter(now)  # served: in time
         self._window = self._even = self._span = self._owe_each = self._owe_all = self._largest = 1.0
+        self._sharers = 1.0  # instances that keep to a server of the ring, on average
         self._tenants = [Meter(now) for _ in settings.tenants]
         self._worth, self._taken = 0.0, 0  # mean worth of a request, and how many there were
         self._retries, self._thin = RETRY_SAVED, True
@@ -259,7 +260,7 @@
         # By answers in time, not requests: a burst is no capacity. By slow ones too: else a jam holds itself.
         takes = [min(t, OVERDUE_TIMES * usual) for t, usual in zip(self._recent, self._usual, strict=True)]
         all_due = self._served.rate(self._now, RATE_MS) * max(sum(takes) / len(takes), self._window)
-        shared = OWED_SHARED / max(self._set.instances, 1)
+        shared = OWED_SHARED / self._sharers
         self._owe_all = max(OWED_TIMES * all_due + shared * ready, 1.0)
         self._owe_each = max(all_due / ready, (math.sqrt(OWED_LEAST + shared + 1.0) - 1.0) ** 2)
         # Too thin for a server's own limit: its cell's limit, one late answer and listed sizes stand in.
@@ -486,9 +487,12 @@
         ready = [server for server in self._servers.values() if server.endpoint.state is State.READY]
         count = max(self._set.instances, 1)
         sharers = max(round(PART_SERVERS / max(len(self._servers), 1) * count), PART_SHARERS)
+        self._sharers = float(count)
         if sharers >= count:
             return ready
         # Each server is shared by the same number of instances, a run of their numbers that begins anywhere.
         after = {id(s): (zlib.crc32(s.endpoint.address) + self._set.ordinal) % count for s in ready}
         ready.sort(key=lambda server: after[id(server)])
-        return ready[: max(sum(where < sharers for where in after.values()), PART_LEAST)]
+        part = ready[: max(sum(where < sharers for where in after.values()), PART_LEAST)]
+        self._sharers = max(count * len(part) / max(len(ready), 1), 1.0)
+        return part
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -769,6 +769,19 @@
     assert own[0] in {server.endpoint.address for server in desk.balancer._ring}
 
 
+def test_the_shared_places_of_a_server_are_shared_by_those_that_keep_to_it() -> None:
+    # Divided by all instances though each met a part of the servers, the fleet's places shrank with the part.
+    lines = tuple(Endpoint(b"s-%08x" % (i * 2654435761 % 2**32)) for i in range(60))
+    fleet = 0.0
+    for ordinal in range(40):
+        desk = Desk(servers=0, seed=ordinal, instances=40, ordinal=ordinal)
+        desk.do(ServerList(lines, complete=True))
+        desk.wait(1000.0)
+        desk.balancer._measure()
+        fleet += desk.balancer._owe_all  # nothing has been answered: the shared places alone
+    assert fleet == pytest.approx(module.OWED_SHARED * 60, rel=0.1)
+
+
 def test_work_for_one_event_does_not_grow_with_the_number_of_servers() -> None:
     def looks(servers: int) -> int:
         desk = Desk(servers=0)
