--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -13,8 +13,8 @@
 
 from larkcrank.core.interface import (
     Action, Address, Cancel, ClientGone, DiscoveryFailed, Effect, Endpoint, Event, Fail, Group, Log, Outcome,
-    Refuse, Request, RequestClass, Result, Send, ServerList, Settings, SetTimer, State, StreamStarted,
-    TimerFired, Watch,
+    Probe, ProbeResult, Refuse, Request, RequestClass, Result, Send, ServerList, Settings, SetTimer, State,
+    StreamStarted, TimerFired, Watch,
 )  # fmt: skip
 
 BETA = 0.20  # share of the rate that an event takes off (CARD)
@@ -135,6 +135,7 @@
     owes: list["Attempt"] = field(default_factory=list)  # attempts out that may still be answered
     fails: int = 0  # failures, halved by each answer
     benched_until: float = -math.inf  # no turns
+    unheard: bool = False  # its last attempt found nobody: a probe, not a request, goes before the next turn
     size: float = 1.0  # as listed, 1: the mean
     wary_until: float = -math.inf  # turns only where no other server has quota
     cold_credit: float = 1.0  # sends left of what it surely can do while it is cold ...
@@ -215,6 +216,8 @@
                 self._ask_in(self._ask_wait * self._rng.random())
             case ClientGone():
                 self._close(event.id)
+            case ProbeResult():
+                self._probed(event)
             case StreamStarted():
                 self._close(event.id, but=event.attempt)
             case TimerFired() if event.token == self._timer:
@@ -248,6 +251,9 @@
                     self._at(self._now + 2 * self._set.tick_ms, what, about)
                 else:
                     self._settle(attempt, True)
+            elif isinstance(about, Server):
+                about.unheard = about in self._ring  # else it drains or has gone: back, it is tried
+                self._actions.extend([Probe(about.endpoint.address)] if about.unheard else [])
             elif what == "ask" and when == self._ask_at:
                 self._actions.append(Watch())
                 self._ask_in(ASK_AGAIN_MS[1])
@@ -278,7 +284,7 @@
 
     def _open(self, server: Server) -> bool:
         """Whether a turn may go to this server now."""
-        if self._now < server.benched_until:
+        if self._now < server.benched_until or server.unheard:
             return False
         due = self._owe_each * (server.size if self._thin else 1.0)
         if server.owes and (server.fails or len(server.owes) + 1 > due + CHANCE_OWED * math.sqrt(due)):
@@ -290,7 +296,7 @@
     def _is_warm_enough(self, server: Server) -> bool:
         """Rule 4: a cold server gets the part of its even share that it surely can do, no more."""
         cold = self._set.warm_after_ms - (self._now - server.endpoint.started_at)
-        if not server.endpoint.started_at or cold <= 0:
+        if cold <= 0 or not server.endpoint.started_at:
             return True
         sure = 1 - (1 - self._set.cold_from) * min(cold / self._set.warm_after_ms, 1.0)
         rate = COLD_CAUTION * sure * self._even * (server.size if self._thin else 1.0)
@@ -444,6 +450,9 @@
         if failed:
             self._settle(attempt, event.result is not Result.RESET or self._thin)  # it tells nothing of speed
             server.fails += 1
+            if event.result is Result.CONNECT_FAILED and self._set.may_probe and not server.unheard:
+                server.unheard = True
+                self._at(server.benched_until, "probe", server)
             if server.fails == BENCH_DOUBLINGS:
                 self._actions.append(Log(f"left {server.endpoint.address.hex()} alone: {event.result.value}"))
         elif event.result is Result.OK:
@@ -456,6 +465,18 @@
                 off = event.elapsed_ms - self._usual[job.index]
                 self._usual[job.index] += (USUAL_UP if off > 0 else ANSWER_WEIGHT) * off
 
+    def _probed(self, event: ProbeResult) -> None:
+        """Somebody is there: its next turn is a trial. Nobody: it is asked again after twice the time."""
+        server = self._servers.get(event.address)
+        if server is None or not server.unheard:
+            return
+        if event.result in (Result.CONNECT_FAILED, Result.TIMEOUT, Result.RESET, Result.NOT_SENT):
+            server.fails += 1
+            rest = self._window * OVERDUE_TIMES * 2 ** min(server.fails, BENCH_DOUBLINGS)
+            self._at(self._now + rest * (0.75 + 0.5 * self._rng.random()), "probe", server)
+        else:
+            server.unheard = False
+
     def _list(self, event: ServerList) -> None:
         if not event.cached:
             self._ask_at, self._ask_wait = math.inf, max(self._spread, ASK_AGAIN_MS[0])
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -295,6 +295,10 @@
             pass
         except http1.MessageError:
             result = Result.ERROR
+        except Exception as error:  # told: a probe without a result would shut its server for good
+            self._tally.crashed += 1
+            self._failed("probe", error)
+            result = Result.ERROR
         finally:
             if connection is not None:
                 connection.close()
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -25,6 +25,8 @@
     Group,
     Log,
     Outcome,
+    Probe,
+    ProbeResult,
     Refuse,
     Request,
     RequestClass,
@@ -782,6 +784,63 @@
     assert fleet == pytest.approx(module.OWED_SHARED * 60, rel=0.1)
 
 
+def unheard(may_probe: bool = True) -> tuple[Desk, bytes]:
+    """A desk of dense traffic, one of whose servers was just not to be connected to."""
+    desk = Desk(servers=4, may_probe=may_probe)
+    desk.warm(400, gap=10.0)
+    while True:
+        number, actions = desk.take()
+        if sends(actions) == [address(2)]:
+            desk.wait(250.0)
+            desk.end(number, Result.CONNECT_FAILED, elapsed=250.0)
+            return desk, address(2)
+        desk.end(number, elapsed=5.0)
+
+
+def to_and_probes(desk: Desk, where: bytes, answer: Result, duration: float = 6000.0) -> tuple[int, int]:
+    """Sends to a server and probes of it while all others answer and the probes end so."""
+    sent = probes = 0
+    until = desk.now + duration
+    while desk.now < until:
+        number, actions = desk.take()
+        sent += sends(actions).count(where)
+        actions += desk.wait(10.0)
+        for attempt in [key for key in desk.out if key[0] == number]:
+            desk.end(number, attempt=attempt[1], elapsed=10.0)
+        for _ in [action for action in actions if isinstance(action, Probe)]:
+            probes += 1
+            desk.do(ProbeResult(where, answer, 5.0))
+    return sent, probes
+
+
+def test_a_server_that_could_not_be_reached_is_asked_for_by_probes_not_by_requests() -> None:
+    # A lost zone: each trial cost a request the connect time-out, from every instance, for every server,
+    # again and again. The probes come ever less often.
+    desk, where = unheard()
+    sent, probes = to_and_probes(desk, where, Result.CONNECT_FAILED)
+    assert sent == 0 and 2 <= probes <= 8
+
+
+def test_a_server_that_answers_a_probe_gets_its_turns_back() -> None:
+    desk, where = unheard()
+    sent, probes = to_and_probes(desk, where, Result.OK)
+    assert probes == 1 and sent >= 0.5 * 600 / 4
+
+
+def test_where_probes_are_not_allowed_a_request_is_the_trial() -> None:
+    desk, where = unheard(may_probe=False)
+    sent, probes = to_and_probes(desk, where, Result.OK)
+    assert probes == 0 and sent > 0
+
+
+def test_a_server_that_left_the_list_is_not_probed_and_is_tried_when_it_returns() -> None:
+    desk, where = unheard()
+    desk.do(ServerList((Endpoint(where, State.DRAINING),), complete=False))
+    assert to_and_probes(desk, where, Result.OK) == (0, 0)
+    desk.do(ServerList((Endpoint(where),), complete=False))
+    assert to_and_probes(desk, where, Result.OK, 2000.0)[0] > 0
+
+
 def test_work_for_one_event_does_not_grow_with_the_number_of_servers() -> None:
     def looks(servers: int) -> int:
         desk = Desk(servers=0)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -287,6 +287,26 @@
     b.run(work())
 
 
+def test_a_probe_that_fails_unexpectedly_still_has_a_result(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Without one the balancer would wait for it for good, and the server get nothing any more."""
+
+    async def work() -> None:
+        async def broken(*_: object) -> None:
+            raise RuntimeError("planted")
+
+        one = b.Endpoint("s-1")
+        await one.start()
+        monkeypatch.setattr("larkcrank.transport.connection.Connecting.wait", broken)
+        stand = Stand(lambda event: [api.Probe(b"s-1")] if isinstance(event, api.TimerFired) else [], one)
+        stand.driver.feed(api.TimerFired(0))
+        await b.until(lambda: bool(stand.decisions.seen(api.ProbeResult)))
+        (probed,) = stand.decisions.seen(api.ProbeResult)
+        assert isinstance(probed, api.ProbeResult) and probed.result is api.Result.ERROR
+        await one.stop()
+
+    b.run(work())
+
+
 @pytest.mark.parametrize(("up", "result"), [(True, api.Result.OK), (False, api.Result.CONNECT_FAILED)])
 def test_a_probe_asks_the_server_itself(up: bool, result: api.Result) -> None:
     async def work() -> None:
