Operators' calls on a second address, and a drain that can be taken back

Cause: nobody listened at $PROXY_OPS and ready could only go off for good, so at 4 s of a drain the front was still sent here. Now one owner of the phase; ready, PING, keep-alive and the latest end of a request follow.

--- a/larkcrank/config/sidecar.py
+++ b/larkcrank/config/sidecar.py
@@ -36,6 +36,7 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
     known: msgspec.Raw = msgspec.Raw(b"")
     kept: str = ""
+    ops: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -47,6 +48,8 @@
     sockets: int
     max_answer: int  # bytes of an answer's body; a longer one is not read
     known: bytes  # the list as last held, in discovery's form; empty where there is none
+    ops: tuple[str, int] | None  # where operators call; None: nowhere
+    passed: int | None  # descriptor of the clients' listening socket, where the platform holds it
     kept: str  # path of the file for what was learnt, written at a planned end; empty: none
     site: Site
     settings: dict[str, Any]  # as the file has them
@@ -57,6 +60,7 @@
             "name": (self.name, new.name),
             "listen": (self.listen, new.listen),
             "kept": (self.kept, new.kept),
+            "ops": (self.ops, new.ops),
             "limits.memory_mb": (self.max_answer, new.max_answer),
             "limits.sockets": (self.sockets, new.sockets),
         }
@@ -66,7 +70,7 @@
 
 
 def load(environment: Mapping[str, str], again: bool = False) -> Config:
-    """Read the file that PROXY_CONFIG names; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY outrank it.
+    """Read the file that PROXY_CONFIG names; PROXY_NAME, _LISTEN, _DISCOVERY and _OPS outrank it.
 
     Read `again`, its `discovery` outranks the environment, which can't change while a process runs.
     """
@@ -93,6 +97,7 @@
         site = convert(file.settings)
     except SettingsError as error:
         raise ConfigError(str(error)) from None
+    ops = environment.get("PROXY_OPS") or file.ops
     discovery = [environment.get("PROXY_DISCOVERY"), file.discovery]
     return Config(
         name=environment.get("PROXY_NAME") or file.name or "larkcrank",
@@ -102,6 +107,8 @@
         sockets=file.limits.sockets,
         max_answer=int(min(max(file.limits.memory_mb * (1 << 20) * ANSWER_SHARE, LEAST_ANSWER), MOST_ANSWER)),
         known=bytes(file.known),
+        ops=_place("ops", ops, lowest=0) if ops else None,
+        passed=_descriptor(environment.get("PROXY_PASSED_SOCKET", "")),
         kept=file.kept,
         site=site,
         settings=file.settings,
@@ -115,6 +122,14 @@
         raise ConfigError(f"{key}: {error}") from None
 
 
+def _descriptor(text: str) -> int | None:
+    if not text:
+        return None
+    if not text.isascii() or not text.isdecimal() or len(text) > 9:
+        raise ConfigError(f"PROXY_PASSED_SOCKET: {text!r} is no number of a descriptor")
+    return int(text)
+
+
 def _seed(text: str) -> int:
     if not text:
         return Random().getrandbits(64)
--- a/larkcrank/program/counters.py
+++ b/larkcrank/program/counters.py
@@ -25,6 +25,7 @@
     lists: int = 0
     discovery_calls: int = 0
     discovery_failures: int = 0
+    operators_calls: int = 0
     crashed: int = 0
     outcomes: dict[str, int] = field(default_factory=lambda: {result.value: 0 for result in Result})
 
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -14,17 +14,22 @@
 from larkcrank.program.clock import Clock
 from larkcrank.program.counters import Counters
 from larkcrank.program.log import Log
+from larkcrank.program.ops import Operators
 from larkcrank.protocol.discovery import Listing, Names
+from larkcrank.protocol.ops import Call
 from larkcrank.routing.clients import Clients
 from larkcrank.routing.discovery import Discovery
 from larkcrank.routing.driver import Driver
+from larkcrank.routing.life import Life, Phase
 from larkcrank.routing.servers import Servers
-from larkcrank.transport.descriptors import Descriptors
+from larkcrank.transport.descriptors import Descriptors, Use
 from larkcrank.transport.listener import Listener
 from larkcrank.transport.pool import Pool
 
 ACCEPT_ON_S = 0.55  # after SIGTERM new connections go on coming for up to 0.4 s
 LEAVE_IDLE_S = 0.4  # and clients go on using those that they have
+REST_S = 0.2  # but one just answered may bring its next request any moment
+LAST_MS = 500.0  # the platform waits for the longest deadline and 0.7 s: nothing may be open by then
 LOOK_S = 0.05
 
 
@@ -36,7 +41,7 @@
         self._clock = Clock()
         self._rng = Random(config.seed)
         site = config.site
-        self.descriptors = Descriptors(config.sockets)
+        self.descriptors = Descriptors(config.sockets, operators=config.ops is not None)
         self.pool = Pool(self.descriptors, site.keepalive_ms)
         servers = Servers(
             self.pool,
@@ -71,15 +76,23 @@
             self.counters,
             log,
         )
+        self.life = Life()
+        self.life.changed = self._life_changed
         self.clients = Clients(
             site.decisions,
             self._driver,
+            self.life,
             self._clock.earliest,
             self.descriptors,
             self.counters,
             log.failure,
         )
         self._listener = Listener(config.listen, self.descriptors, self.clients.accept)
+        self._operators: Listener | None = None
+        if config.ops is not None:
+            operators = Operators(self.life, self.descriptors, self._called, log.failure)
+            self._operators = Listener(config.ops, self.descriptors, operators.accept, Use.OPERATOR)
+        self._sending_away: asyncio.Task[None] | None = None
         self._always_watch = not site.decisions.must_ask
         self._known = config.known
         self._ending = asyncio.Event()
@@ -88,8 +101,15 @@
     def place(self) -> tuple[str, int]:
         return self._listener.place
 
+    @property
+    def ops_place(self) -> tuple[str, int]:
+        assert self._operators is not None
+        return self._operators.place
+
     def start(self) -> None:
         """Serve from now on, by the list as last held until discovery answers."""
+        if self._operators is not None:
+            self._operators.start()
         known = self._discovery.start_from(self._known) if self._known else None
         if known is None:
             known = Listing(0, True, ())
@@ -99,8 +119,29 @@
             self._discovery.watch()
         self._clock.beat()
         self._listener.start()
+        self.life.start()
         host, port = self.place
-        self.log.event("ready", listen=f"{host}:{port}", known=len(known.endpoints))
+        more = {"ops": "{}:{}".format(*self.ops_place)} if self._operators is not None else {}
+        self.log.event("ready", listen=f"{host}:{port}", known=len(known.endpoints), **more)
+
+    def _called(self, call: Call, done: bool) -> None:
+        self.counters.operators_calls += 1
+        if call is not Call.PING:  # that one comes again and again
+            self.log.event("operators_call", call=call.name, done=done, now=self.life.phase.value)
+
+    def _life_changed(self) -> None:
+        if self.life.phase is Phase.DRAINING and self._sending_away is None:
+            self._sending_away = asyncio.get_running_loop().create_task(self._send_away())
+
+    async def _send_away(self) -> None:
+        """While draining: close what rests, once clients have had the time to look elsewhere."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while self.life.phase is Phase.DRAINING:
+            await asyncio.sleep(LOOK_S)
+            if loop.time() - began >= LEAVE_IDLE_S:
+                self.clients.close_idle(REST_S)
+        self._sending_away = None
 
     def _take_up(self, path: str) -> None:
         """Begin with what was kept. A file that can't be used is logged, and the start is a cold one."""
@@ -174,7 +215,11 @@
 
     def close(self) -> None:
         """Give back what a sidecar holds besides its clients' connections."""
-        self._listener.close()
+        for listener in (self._listener, self._operators):
+            if listener is not None:
+                listener.close()
+        if self._sending_away is not None:
+            self._sending_away.cancel()
         self._discovery.close()
         self.pool.close()
 
@@ -183,11 +228,12 @@
         self.log.event("winding_down", connections=self.clients.open)
         loop = asyncio.get_running_loop()
         began = loop.time()
-        self.clients.wind_down()
+        longest = max(cls.deadline_ms for cls in self._config.site.decisions.classes)
+        self.life.end(self._clock() + longest + LAST_MS)
         while (spent := loop.time() - began) < ACCEPT_ON_S:
             await asyncio.sleep(LOOK_S)
             if spent >= LEAVE_IDLE_S:
-                self.clients.close_idle()  # a request that crosses this finds the listener still open
+                self.clients.close_idle(REST_S)  # a request that crosses this finds the listener still open
         await self.stop_listening()
         while True:
             await asyncio.sleep(LOOK_S)  # what the last accept brought is read first
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -8,6 +8,7 @@
 from larkcrank.core.interface import Effect, RequestClass, Settings
 from larkcrank.protocol import http1, platform
 from larkcrank.routing.exchange import Exchange, StreamAnswer
+from larkcrank.routing.life import Life
 from larkcrank.transport.connection import Connection, ConnectionLostError
 from larkcrank.transport.descriptors import Descriptors, Use
 
@@ -47,12 +48,14 @@
         self,
         settings: Settings,
         desk: Desk,
+        life: Life,
         came_at: Callable[[], float],
         descriptors: Descriptors,
         tally: Tally,
         failed: Callable[[str, BaseException], None],
     ) -> None:
         self._desk = desk
+        self._life = life
         self._came_at = came_at
         self._tally = tally
         self._failed = failed
@@ -66,7 +69,6 @@
         self._idle: OrderedDict[_Visit, None] = OrderedDict()  # served before
         self._ids: set[str] = set()  # of the requests in hand
         self._sweeper: asyncio.TimerHandle | None = None
-        self._closing = False
         self._descriptors = descriptors
         descriptors.add_spare(Use.CLIENT, self._make_way)
 
@@ -83,14 +85,12 @@
         if self._sweeper is None:
             self._sweeper = loop.call_later(SWEEP_S, self._sweep)
 
-    def wind_down(self) -> None:
-        """From now on every answer ends its connection."""
-        self._closing = True
-
-    def close_idle(self) -> int:
-        """Close the connections on which nothing can be under way; say how many others there are."""
+    def close_idle(self, rest_s: float = 0.0) -> int:
+        """Close the connections that rested so long and on which nothing can be under way; say how many
+        others there are. One just accepted has its first request on the way, one just answered the next."""
+        now = asyncio.get_running_loop().time()
         for visit in list(self._open.values()):
-            if visit.is_idle():
+            if now - visit.since >= rest_s and visit.is_idle():
                 visit.connection.close()
         return sum(not visit.connection.closed for visit in self._open.values())
 
@@ -191,7 +191,7 @@
 
     async def _reply(self, visit: "_Visit", request: http1.Request) -> bool:
         if platform.is_ready_check(request):
-            status = 503 if self._closing else 200
+            status = 200 if self._life.is_ready else 503
             return await self._write(visit, request, status, (), b"")
         exchange = self._exchange(request, visit.read_at)  # what is no request ends its connection
         if self._desk.is_full():
@@ -247,7 +247,7 @@
 
     def _ends_with(self, request: http1.Request) -> bool:
         """Whether the connection ends with this answer: it is asked to, or its place is wanted."""
-        return self._closing or self._descriptors.wanted or not request.keep_alive
+        return self._life.sends_away or self._descriptors.wanted or not request.keep_alive
 
     def _exchange(self, request: http1.Request, came_at: float) -> Exchange:
         call = platform.read_call(request)
@@ -264,7 +264,7 @@
             call=call,
             request=request,
             came_at=came_at,
-            deadline=came_at + wait_ms,
+            deadline=min(came_at + wait_ms, self._life.latest),
             streaming=cls.streaming,
             tenant=self._tenants.get(call.owner, 0),
         )
--- a/larkcrank/transport/descriptors.py
+++ b/larkcrank/transport/descriptors.py
@@ -5,6 +5,8 @@
 
 RESERVE = 32  # for standard streams, the loop's own, and a margin ...
 RESERVE_SHARE = 0.4  # ... but not more than this of few: about a dozen are really in use
+OPERATORS = 12  # places that nothing else can fill, so that a crowd keeps no operator out ...
+OPERATORS_SHARE = 0.1  # ... or this share of few
 
 
 class Use(Enum):
@@ -13,24 +15,30 @@
     CLIENT = 0.85
     ATTEMPT = 0.5
     DISCOVERY = 1.0
+    OPERATOR = 0.0  # has places of its own
 
 
 class Descriptors:
     """Counts sockets. Each is taken here before it is opened and given back once, when it is closed."""
 
-    def __init__(self, limit: int) -> None:
-        self._room = limit - min(RESERVE, int(limit * RESERVE_SHARE))
+    def __init__(self, limit: int, operators: bool = False) -> None:
+        self._operators = min(OPERATORS, int(limit * OPERATORS_SHARE)) if operators else 0
+        self._room = limit - min(RESERVE, int(limit * RESERVE_SHARE)) - self._operators
         self._used = dict.fromkeys(Use, 0)
         self._spares: dict[Use, Callable[[], bool]] = {}
         self._waiting: set[Callable[[], None]] = set()
 
     @property
     def used(self) -> int:
-        return sum(self._used.values())
+        """Places taken, but for the operators' own."""
+        return sum(self._used.values()) - self._used[Use.OPERATOR]
+
+    def _most(self, use: Use) -> int:
+        return self._operators if use is Use.OPERATOR else int(self._room * use.value)
 
     def share(self, use: Use) -> float:
         """How much of what this use may fill is filled."""
-        return self._used[use] / max(int(self._room * use.value), 1)
+        return self._used[use] / max(self._most(use), 1)
 
     @property
     def wanted(self) -> bool:
@@ -43,11 +51,12 @@
 
     def take(self, use: Use) -> bool:
         """A place for one more socket, made by closing idle ones if need be."""
-        while self._used[use] >= int(self._room * use.value):
+        while self._used[use] >= self._most(use):
             if use not in self._spares or not self._spares[use]():
                 return False
-        while self.used >= self._room:
-            if not any(close_one() for close_one in self._spares.values()):
+        others = [close_one for spare, close_one in self._spares.items() if spare is not Use.OPERATOR]
+        while use is not Use.OPERATOR and self.used >= self._room:
+            if not any(close_one() for close_one in others):
                 return False
         self._used[use] += 1
         return True
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -247,6 +247,14 @@
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection(*self.sidecar.place))
 
+    async def operator(self, text: bytes) -> bytes:
+        """What an operator is told: one call on a connection of its own."""
+        reader, writer = await asyncio.open_connection(*self.sidecar.ops_place)
+        writer.write(text)
+        said = await reader.read()
+        writer.close()
+        return said
+
     def lines(self) -> list[dict[str, Any]]:
         return [json.loads(line) for line in self._log.getvalue().splitlines()]
 
@@ -261,6 +269,7 @@
     known: bool = True,
     discovery_up: bool = True,
     kept: str = "",
+    ops: str = "",
     **changes: Any,
 ) -> AsyncIterator[Bed]:
     """A sidecar that knows these endpoints from its start on."""
@@ -278,6 +287,7 @@
         "seed": "7",
         "limits": {"sockets": sockets},
         "kept": kept,
+        "ops": ops,
         "known": json.loads(discovery.text(list(endpoints), True)) if known else None,
         "settings": CONFIG | {"grades": CLASSES, "registry-mode": "subscribe"} | changes,
     }
