A new process takes over the passed socket, the list and the limits from the old one

Cause: the program bound the address that the platform holds and exited with 1. Now the descriptor is adopted, the new process is told over a Unix socket in TMPDIR what the old one knows, and both keep to half the descriptors.

--- a/larkcrank/__main__.py
+++ b/larkcrank/__main__.py
@@ -3,15 +3,17 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
 
 from larkcrank.config.sidecar import Config, ConfigError, load
 from larkcrank.program.log import Log
 from larkcrank.program.sidecar import Sidecar
+from larkcrank.transport.listener import PassedSocketError, adopt
 
 
-async def _run(config: Config, log: Log) -> None:
-    await Sidecar(config, log, lambda: load(os.environ, again=True)).run()
+async def _run(config: Config, log: Log, passed: socket.socket | None) -> None:
+    await Sidecar(config, log, lambda: load(os.environ, again=True), passed).run()
 
 
 def main() -> int:
@@ -19,12 +21,13 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
     try:
         config = load(os.environ)
-    except ConfigError as error:
+        passed = None if config.passed is None else adopt(config.passed)
+    except (ConfigError, PassedSocketError) as error:
         Log(os.environ.get("PROXY_NAME", "")).event("bad_configuration", message=str(error))
         return 2
     log = Log(config.name)
     try:
-        asyncio.run(_run(config, log))
+        asyncio.run(_run(config, log, passed))
     except OSError as error:  # the address is taken, or not ours
         log.event("cannot_listen", message=str(error))
         return 1
--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -9,7 +9,7 @@
 import math
 import zlib
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from larkcrank.core.interface import (
@@ -176,6 +176,21 @@
     tried: list[Server] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class Learnt:
+    """What the next process of this instance needs to go on from here; owed attempts stay with this one."""
+
+    usual: list[float]
+    recent: list[float]
+    rates: list[Meter]  # of arrivals, sends, answers in time, then the tenants'
+    worth: float
+    taken: int
+    retries: float
+    turn: int
+    cells: dict[int, Brake]
+    servers: list[Server]
+
+
 class Balancer:
     """Round-robin behind a cubic limit for each server."""
 
@@ -246,6 +261,22 @@
             guess = FIRST_USUAL_AIM * self._set.classes[index].aim_ms
             self._usual[index] = min(max(value, guess / KEPT_OFF), guess * KEPT_OFF)
 
+    def hand_over(self) -> Learnt:
+        rates = [self._arrivals, self._sends, self._served, *self._tenants]
+        servers = [replace(server, owes=[]) for server in self._servers.values()]
+        known = self._worth, self._taken, self._retries, self._turn
+        return Learnt(self._usual, self._recent, rates, *known, self._cells, servers)
+
+    def take_over(self, learnt: Learnt) -> None:
+        """Go on, before the first event, where another process of this instance stood just now."""
+        self._usual, self._recent, self._cells = learnt.usual, learnt.recent, learnt.cells
+        self._arrivals, self._sends, self._served, *self._tenants = learnt.rates
+        self._worth, self._taken = learnt.worth, learnt.taken
+        self._retries, self._turn = learnt.retries, learnt.turn
+        self._servers = {server.endpoint.address: server for server in learnt.servers}
+        for server in filter(lambda server: server.unheard, learnt.servers):
+            self._at(self._now, "probe", server)
+
     def _at(self, when: float, what: str, about: object = None) -> None:
         self._sequence += 1
         heapq.heappush(self._due, (when, self._sequence, what, about))
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -3,6 +3,8 @@
 import asyncio
 import gc
 import signal
+import socket
+import tempfile
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
@@ -10,7 +12,7 @@
 
 from larkcrank.config.sidecar import Config, ConfigError
 from larkcrank.core.balancer import Balancer
-from larkcrank.program import kept
+from larkcrank.program import handover, kept
 from larkcrank.program.clock import Clock
 from larkcrank.program.counters import Counters
 from larkcrank.program.log import Log
@@ -29,12 +31,16 @@
 ACCEPT_ON_S = 0.55  # after SIGTERM new connections go on coming for up to 0.4 s
 LEAVE_IDLE_S = 0.4  # and clients go on using those that they have
 REST_S = 0.2  # but one just answered may bring its next request any moment
+LEAVE_PASSED_S = 1.0  # where a successor serves, most clients are sent there by an answer, not by a close
+LIST_S = 2.5  # a process whose predecessor can't be heard waits so long for discovery
 LAST_MS = 500.0  # the platform waits for the longest deadline and 0.7 s: nothing may be open by then
 LOOK_S = 0.05
 
 
 class Sidecar:
-    def __init__(self, config: Config, log: Log, reread: Callable[[], Config]) -> None:
+    def __init__(
+        self, config: Config, log: Log, reread: Callable[[], Config], passed: socket.socket | None = None
+    ) -> None:
         self.log = log
         self._config, self._reread = config, reread
         self.counters = Counters()
@@ -43,7 +49,7 @@
         site = config.site
         self.descriptors = Descriptors(config.sockets, operators=config.ops is not None)
         self.pool = Pool(self.descriptors, site.keepalive_ms)
-        servers = Servers(
+        self._servers = servers = Servers(
             self.pool,
             self.descriptors,
             site.connect_timeout_ms,
@@ -53,10 +59,11 @@
             self.counters,
             log.failure,
         )
+        self._names = Names(list(site.zones), list(site.kinds))
         self._discovery = Discovery(
             config.discovery,
             self.descriptors,
-            Names(list(site.zones), list(site.kinds)),
+            self._names,
             site.connect_timeout_ms,
             not site.decisions.must_ask,
             Random(self._rng.getrandbits(64)),
@@ -65,7 +72,6 @@
         )
         balancer = Balancer(site.decisions, Random(self._rng.getrandbits(64)), self._clock())
         self._balancer = balancer
-        self._take_up(config.kept)
         self._driver = Driver(
             balancer,
             self._clock,
@@ -87,7 +93,10 @@
             self.counters,
             log.failure,
         )
-        self._listener = Listener(config.listen, self.descriptors, self.clients.accept)
+        self._listener = Listener(config.listen, self.descriptors, self.clients.accept, passed=passed)
+        self._others = [0, 0]  # processes of this sidecar that live beside this one: before it, after it
+        self._predecessor: handover.Predecessor | None = None
+        self._successors: handover.Successors | None = None
         self._operators: Listener | None = None
         if config.ops is not None:
             operators = Operators(self.life, self.descriptors, self._called, log.failure)
@@ -95,6 +104,7 @@
         self._sending_away: asyncio.Task[None] | None = None
         self._always_watch = not site.decisions.must_ask
         self._known = config.known
+        self._known_count = 0
         self._ending = asyncio.Event()
 
     @property
@@ -106,11 +116,86 @@
         assert self._operators is not None
         return self._operators.place
 
+    async def begin(self) -> None:
+        """Serve as soon as that can be done by a list that is current enough.
+
+        A process that serves already hands over its list and what it learnt. Where one is there and can't be
+        heard, this one waits for discovery, but not long: a slow one must not keep it from its work.
+        """
+        if not self._listener.is_passed:
+            self.start()
+            return
+        if self._operators is not None:
+            self._operators.start()  # operators are told that it is not ready yet
+        path = handover.path_in(tempfile.gettempdir(), self._config.name)
+        handed, wait = None, False
+        try:
+            self._predecessor = await handover.find(path)
+            if self._predecessor is not None:
+                handed = handover.decode(await self._predecessor.read(), self._config.name, self._marks())
+        except handover.HandoverError as error:
+            wait = True
+            self.log.event("handover_unusable", message=str(error))
+        if self._predecessor is not None:
+            self._shares(0, 1)
+            self._predecessor.watch(lambda: self._shares(0, 0))
+        self._learn_list(handed)
+        if wait:
+            until = asyncio.get_running_loop().time() + LIST_S
+            while not self.counters.lists and asyncio.get_running_loop().time() < until:
+                await asyncio.sleep(LOOK_S)
+        await self._await_successors(path)
+        self._open_door()
+
+    async def _await_successors(self, path: Path) -> None:
+        self._successors = handover.Successors(path, self._told, lambda count: self._shares(1, count))
+        try:
+            await self._successors.start()
+        except OSError as error:  # the next process starts cold, this one serves all the same
+            self.log.event("handover_unavailable", message=str(error))
+
+    def _told(self) -> bytes:
+        self.log.event("handed_over", servers=len(self._servers.places()))
+        handed = handover.Handed(
+            self._config.name,
+            self._marks(),
+            self._discovery.generation,
+            self._names.zones,
+            self._names.kinds,
+            self._servers.places(),
+            self._balancer.hand_over(),
+        )
+        return handover.encode(handed)
+
+    def _marks(self) -> str:
+        """What two processes must have in common to mean the same by what they learnt."""
+        return repr(self._config.site)
+
+    def _shares(self, where: int, count: int) -> None:
+        """The limits are those of one sidecar: its processes share them evenly while more than one lives."""
+        self._others[where] = count
+        self.descriptors.share_with(sum(self._others))
+        self.log.event("processes", beside=sum(self._others))
+
     def start(self) -> None:
         """Serve from now on, by the list as last held until discovery answers."""
         if self._operators is not None:
             self._operators.start()
-        known = self._discovery.start_from(self._known) if self._known else None
+        self._learn_list(None)
+        self._open_door()
+
+    def _learn_list(self, handed: handover.Handed | None) -> None:
+        known: Listing | None = None
+        if handed is not None:
+            self._balancer.take_over(handed.learnt)
+            self._names.zones[:], self._names.kinds[:] = handed.zones, handed.kinds
+            endpoints = tuple(server.endpoint for server in handed.learnt.servers)
+            known = Listing(handed.generation or 0, True, endpoints, handed.places)
+            self._discovery.go_on_from(handed.generation)
+            self.log.event("taken_over", known=len(endpoints), taken=handed.learnt.taken)
+        else:
+            self._take_up(self._config.kept)
+            known = self._discovery.start_from(self._known) if self._known else None
         if known is None:
             known = Listing(0, True, ())
         # Also where none is known: the balancer sets its timer, by which it asks, on its first event.
@@ -118,11 +203,14 @@
         if self._always_watch:
             self._discovery.watch()
         self._clock.beat()
+        self._known_count = len(known.endpoints)
+
+    def _open_door(self) -> None:
         self._listener.start()
         self.life.start()
         host, port = self.place
         more = {"ops": "{}:{}".format(*self.ops_place)} if self._operators is not None else {}
-        self.log.event("ready", listen=f"{host}:{port}", known=len(known.endpoints), **more)
+        self.log.event("ready", listen=f"{host}:{port}", known=self._known_count, **more)
 
     def _called(self, call: Call, done: bool) -> None:
         self.counters.operators_calls += 1
@@ -198,10 +286,15 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))  # blocked since the file was read
         loop.set_exception_handler(self._loop_failed)
         self.log.take_over()
-        self.start()
-        gc.collect()
-        gc.freeze()  # what lives as long as the program need not be looked through again
-        await self._ending.wait()
+        beginning = loop.create_task(self.begin())
+        ending = loop.create_task(self._ending.wait())
+        await asyncio.wait((beginning, ending), return_when=asyncio.FIRST_COMPLETED)
+        if beginning.done():
+            beginning.result()
+            gc.collect()
+            gc.freeze()  # what lives as long as the program need not be looked through again
+        await ending
+        beginning.cancel()  # ended before it began
         await self.wind_down()
         self.keep()
         self.show_counters()
@@ -220,6 +313,9 @@
                 listener.close()
         if self._sending_away is not None:
             self._sending_away.cancel()
+        for other in (self._predecessor, self._successors):
+            if other is not None:
+                other.close()
         self._discovery.close()
         self.pool.close()
 
@@ -230,14 +326,17 @@
         began = loop.time()
         longest = max(cls.deadline_ms for cls in self._config.site.decisions.classes)
         self.life.end(self._clock() + longest + LAST_MS)
-        while (spent := loop.time() - began) < ACCEPT_ON_S:
+        if self._listener.is_passed:
+            await self.stop_listening()  # what waits there is the successor's
+        while (spent := loop.time() - began) < (LEAVE_PASSED_S if self._listener.is_passed else ACCEPT_ON_S):
             await asyncio.sleep(LOOK_S)
-            if spent >= LEAVE_IDLE_S:
+            if spent >= LEAVE_IDLE_S and not self._listener.is_passed:
                 self.clients.close_idle(REST_S)  # a request that crosses this finds the listener still open
         await self.stop_listening()
+        rest_s = REST_S if self._listener.is_passed else 0.0
         while True:
             await asyncio.sleep(LOOK_S)  # what the last accept brought is read first
-            if not self.clients.close_idle():
+            if not self.clients.close_idle(rest_s):
                 break
         await self.clients.finished()
         self.close()
--- a/larkcrank/routing/discovery.py
+++ b/larkcrank/routing/discovery.py
@@ -66,6 +66,15 @@
         self._generation = listing.generation
         return listing
 
+    @property
+    def generation(self) -> int | None:
+        """Of the list as last told; None where there is none."""
+        return self._generation
+
+    def go_on_from(self, generation: int | None) -> None:
+        """The list of this generation is known from elsewhere."""
+        self._generation = generation
+
     def watch(self, on: bool = True) -> None:
         """Watch from now on. While a watch is under way another call would tell nothing more."""
         if not on:
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -106,6 +106,10 @@
     def under_way(self) -> int:
         return len(self._attempts)
 
+    def places(self) -> dict[Address, tuple[str, int]]:
+        """Where the servers are, as last told."""
+        return dict(self._places)
+
     def learn(self, listing: Listing) -> None:
         """Follow the list: where servers are, and which still take work."""
         if listing.whole:
--- a/larkcrank/transport/descriptors.py
+++ b/larkcrank/transport/descriptors.py
@@ -23,11 +23,21 @@
 
     def __init__(self, limit: int, operators: bool = False) -> None:
         self._operators = min(OPERATORS, int(limit * OPERATORS_SHARE)) if operators else 0
-        self._room = limit - min(RESERVE, int(limit * RESERVE_SHARE)) - self._operators
+        self._limit = limit
+        self._room = 0
+        self.share_with(0)
         self._used = dict.fromkeys(Use, 0)
         self._spares: dict[Use, Callable[[], bool]] = {}
         self._waiting: set[Callable[[], None]] = set()
 
+    def share_with(self, others: int) -> None:
+        """So many other processes of this sidecar live: its limit is one for all of them.
+
+        Who holds more than its part then gives up idle connections as it needs places, and takes no more.
+        """
+        limit = self._limit // (1 + others)
+        self._room = limit - min(RESERVE, int(limit * RESERVE_SHARE)) - self._operators
+
     @property
     def used(self) -> int:
         """Places taken, but for the operators' own."""
--- a/larkcrank/transport/listener.py
+++ b/larkcrank/transport/listener.py
@@ -24,11 +24,11 @@
     try:
         sock = socket.socket(fileno=descriptor)
     except OSError as error:
-        raise PassedSocketError(f"descriptor {descriptor}: {error.strerror}") from None
+        raise PassedSocketError(f"PROXY_PASSED_SOCKET: descriptor {descriptor}: {error.strerror}") from None
     tcp = sock.family == socket.AF_INET and sock.type == socket.SOCK_STREAM
     if not tcp or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
         sock.detach()  # it is not ours to close
-        raise PassedSocketError(f"descriptor {descriptor} is no listening TCP socket")
+        raise PassedSocketError(f"PROXY_PASSED_SOCKET: descriptor {descriptor} is no listening TCP socket")
     return sock
 
 
