Long bodies pass through both ways with backpressure; answers may end with their connection

Now what is over 64 KiB passes through, its time runs from its last byte, and a long answer counts as given at its first.

--- a/larkcrank/config/sidecar.py
+++ b/larkcrank/config/sidecar.py
@@ -11,10 +11,9 @@
 
 from larkcrank.config.settings import SettingsError, Site, convert
 from larkcrank.protocol.discovery import host_port
+from larkcrank.protocol.http1 import HELD, MAX_BODY
 
 LEAST_SOCKETS = 32
-ANSWER_SHARE = 1 / 64  # of the memory, that one answer may fill: dozens are read at once
-LEAST_ANSWER, MOST_ANSWER = 64 * 1024, 2 << 20
 
 
 class ConfigError(Exception):
@@ -25,6 +24,7 @@
     cores: float = 1.0
     memory_mb: float = 192.0
     sockets: int = 1024
+    body_mb: float = MAX_BODY / (1 << 20)
 
 
 class _File(msgspec.Struct):
@@ -46,7 +46,8 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int
-    max_answer: int  # bytes of an answer's body; a longer one is not read
+    memory_mb: float
+    max_body: int  # bytes of a body, either way
     known: bytes  # the list as last held, in discovery's form; empty where there is none
     ops: tuple[str, int] | None  # where operators call; None: nowhere
     passed: int | None  # descriptor of the clients' listening socket, where the platform holds it
@@ -61,7 +62,8 @@
             "listen": (self.listen, new.listen),
             "kept": (self.kept, new.kept),
             "ops": (self.ops, new.ops),
-            "limits.memory_mb": (self.max_answer, new.max_answer),
+            "limits.memory_mb": (self.memory_mb, new.memory_mb),
+            "limits.body_mb": (self.max_body, new.max_body),
             "limits.sockets": (self.sockets, new.sockets),
         }
         for key in sorted(self.settings.keys() | new.settings.keys()):
@@ -91,6 +93,8 @@
         raise ConfigError(f"configuration: {error}") from None
     if not 0.0 < file.limits.memory_mb < math.inf:
         raise ConfigError(f"limits.memory_mb: {file.limits.memory_mb} is no amount of memory")
+    if not HELD <= file.limits.body_mb * (1 << 20) < math.inf:
+        raise ConfigError(f"limits.body_mb: {file.limits.body_mb} is no size of at least {HELD} bytes")
     if file.limits.sockets < LEAST_SOCKETS:
         raise ConfigError(f"limits.sockets: {file.limits.sockets} is under {LEAST_SOCKETS}")
     try:
@@ -105,7 +109,8 @@
         discovery=_place("discovery", next(filter(None, reversed(discovery) if again else discovery), "")),
         seed=_seed(file.seed),
         sockets=file.limits.sockets,
-        max_answer=int(min(max(file.limits.memory_mb * (1 << 20) * ANSWER_SHARE, LEAST_ANSWER), MOST_ANSWER)),
+        memory_mb=file.limits.memory_mb,
+        max_body=int(file.limits.body_mb * (1 << 20)),
         known=bytes(file.known),
         ops=_place("ops", ops, lowest=0) if ops else None,
         passed=_descriptor(environment.get("PROXY_PASSED_SOCKET", "")),
--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -15,7 +15,7 @@
 from larkcrank.core.interface import (
     Action, Address, Cancel, ClientGone, DiscoveryFailed, Effect, Endpoint, Event, Fail, Group, Log, Outcome,
     Probe, ProbeResult, Refuse, Request, RequestClass, Result, Send, ServerList, Settings, SetTimer, State,
-    StreamStarted, TimerFired, Watch,
+    StreamStarted, TimerFired, Uploaded, Watch,
 )  # fmt: skip
 
 BETA = 0.20  # share of the rate that an event takes off (CARD)
@@ -170,6 +170,7 @@
     aim_at: float
     last_call: float = 0.0  # held longer than this, its answer would miss the aim
     rank: tuple[bool, float, float] = (False, 0.0, 0.0)  # in the held queue
+    uploading: bool = False  # its body still comes
     sends: int = 0
     out: dict[int, Attempt] = field(default_factory=dict)
     ran: Attempt | None = None  # the first attempt that may have run
@@ -242,8 +243,15 @@
                 self._close(event.id)
             case ProbeResult():
                 self._probed(event)
-            case StreamStarted():
-                self._close(event.id, but=event.attempt)
+            case StreamStarted():  # answered; how long its client takes to read it is not the server's time
+                self._outcome(
+                    Outcome(event.id, event.attempt, event.address, Result.OK, event.elapsed_ms, True)
+                )
+            case Uploaded() if (job := self._jobs.get(event.id)) is not None:
+                self._time(job, event.time_left_ms)
+                for index, attempt in job.out.items():
+                    attempt.sent_at = self._now
+                    self._expect(job, index, attempt)
             case TimerFired() if event.token == self._timer:
                 self._armed = math.inf
         self._run_due()
@@ -384,17 +392,22 @@
         return same or group is Group.ALL
 
     def _take(self, request: Request) -> None:
-        cls, deadline = self._set.classes[request.cls], self._now + request.time_left_ms
-        aim = deadline if cls.late_worth else min(self._now + cls.aim_ms, deadline)
-        tenant = request.tenant if self._tenants else 0
-        job = self._jobs[request.id] = Job(request.id, request.cls, cls, tenant, self._now, aim)
+        cls, tenant = self._set.classes[request.cls], request.tenant if self._tenants else 0
+        job = self._jobs[request.id] = Job(request.id, request.cls, cls, tenant, self._now, self._now)
+        self._time(job, request.time_left_ms, request.uploading)
         self._arrivals.add(self._now, RATE_MS)
         self._taken += 1
         self._worth += max(1 / self._taken, ANSWER_WEIGHT) * (cls.worth - self._worth)
         self._retries = min(self._retries + RETRY_SHARE, RETRY_SAVED)
-        self._at(deadline - 2 * self._set.tick_ms, "backstop", job)
         self._hold(job)
 
+    def _time(self, job: Job, left: float, uploading: bool = False) -> None:
+        """A request's time begins now, or, while its body still comes, once that has come."""
+        deadline, job.uploading = self._now + left, uploading
+        job.aim_at = deadline if job.cls.late_worth else min(self._now + job.cls.aim_ms, deadline)
+        if not uploading:
+            self._at(deadline - 2 * self._set.tick_ms, "backstop", job)
+
     def _hold(self, job: Job) -> None:
         """Queue a request: tenants within their share, then what is worth most, then who can wait least."""
         job.last_call = self._last_call(job)
@@ -429,22 +442,28 @@
             self._at(self._wake, "window")
 
     def _send(self, job: Job, server: Server) -> None:
-        attempt, key = Attempt(server, self._now, job.index), (job.id, job.sends)
+        attempt = Attempt(server, self._now, job.index)
         if job.sends == 0 and self._tenants:
             self._tenants[job.tenant].add(self._now, TENANT_MS)
-        job.out[job.sends] = self._attempts[key] = attempt
+        job.out[job.sends] = attempt
+        if not job.uploading:
+            self._expect(job, job.sends, attempt)
         job.sends += 1
         job.tried.append(server)
-        server.owes.append(attempt)
         server.cold_credit = max(server.cold_credit - 1.0, 0.0)
         self._sends.add(self._now, RATE_MS)
         brake = self._brake(server)
         brake.credit = max(brake.credit - 1.0, 0.0)  # no debt from when nothing bound
         brake.sends.add(self._now, max(self._span, RATE_MS))
         self._actions.append(Send(job.id, server.endpoint.address))
+
+    def _expect(self, job: Job, index: int, attempt: Attempt) -> None:
+        """From now on the server owes an answer."""
+        self._attempts[job.id, index] = attempt
+        attempt.server.owes.append(attempt)
         share = OVERDUE_LATE if job.cls.late_worth else OVERDUE_AIM
         patience = min(OVERDUE_TIMES * self._usual[job.index], share * job.cls.aim_ms)
-        self._at(self._now + patience, "overdue", key)
+        self._at(self._now + patience, "overdue", (job.id, index))
 
     def _may_repeat(self, job: Job) -> bool:
         """Whether another attempt is allowed, paid for, and in time."""
@@ -459,12 +478,12 @@
         self._actions.append(Refuse(job.id, hint) if harmless else Fail(job.id))
         self._close(job.id)
 
-    def _close(self, number: int, but: int = -1) -> None:
+    def _close(self, number: int) -> None:
         """Forget a request that has its answer; call off what is still out for it."""
         if (job := self._jobs.pop(number, None)) is None:
             return
         self._held = [held for held in self._held if held is not job]
-        self._actions.extend(Cancel(number, out) for out in job.out if out != but and self._set.may_cancel)
+        self._actions.extend(Cancel(number, out) for out in job.out if self._set.may_cancel)
 
     def _settle(self, attempt: Attempt, missed: bool) -> None:
         if not attempt.missed:
@@ -475,16 +494,17 @@
 
     def _outcome(self, event: Outcome) -> None:
         attempt, job = self._attempts.pop((event.id, event.attempt), None), self._jobs.get(event.id)
+        unowed = job.out.pop(event.attempt, None) if job is not None else None
+        attempt = attempt or unowed  # its body was still on the way
         if attempt is not None:
             self._learn(event, attempt, job)
         if job is None or attempt is None:
             return
-        job.out.pop(event.attempt, None)
         if not event.result.never_ran:
             job.ran = job.ran or attempt
         if event.closed:
             self._close(event.id)
-        elif not job.out and self._may_repeat(job):
+        elif not job.out and event.again and self._may_repeat(job):
             self._retries -= 1.0
             self._hold(job)
         elif not job.out:
--- a/larkcrank/core/interface.py
+++ b/larkcrank/core/interface.py
@@ -120,11 +120,20 @@
     cost_ms: float | None = None
     is_retry: bool = False
     is_write: bool = False
+    uploading: bool = False  # its body still comes, and passes through: its time runs from `Uploaded` on
+
+
+@dataclass(slots=True, frozen=True)
+class Uploaded:
+    """The last byte of a request's body has come: its time, and what its server owes, begin now."""
+
+    id: int
+    time_left_ms: float
 
 
 @dataclass(slots=True, frozen=True)
 class StreamStarted:
-    """The answer's first part has gone to the client; from here on the attempt is the client's."""
+    """A long answer's first part has come and goes on to the client: the attempt has answered the request."""
 
     id: int
     attempt: int
@@ -141,6 +150,7 @@
     elapsed_ms: float
     closed: bool  # the request has its final answer
     load: tuple[float, ...] = ()
+    again: bool = True  # the request is still held whole, and could be sent once more
 
 
 @dataclass(slots=True, frozen=True)
@@ -186,6 +196,7 @@
 
 Event: TypeAlias = (
     Request
+    | Uploaded
     | StreamStarted
     | Outcome
     | ClientGone
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -24,6 +24,7 @@
 from larkcrank.routing.driver import Driver
 from larkcrank.routing.life import Life, Phase
 from larkcrank.routing.servers import Servers
+from larkcrank.transport.budget import Budget
 from larkcrank.transport.descriptors import Descriptors, Use
 from larkcrank.transport.listener import Listener
 from larkcrank.transport.pool import Pool
@@ -48,13 +49,15 @@
         self._rng = Random(config.seed)
         site = config.site
         self.descriptors = Descriptors(config.sockets, operators=config.ops is not None)
+        self.budget = Budget(config.memory_mb * (1 << 20))
         self.pool = Pool(self.descriptors, site.keepalive_ms)
         self._servers = servers = Servers(
             self.pool,
             self.descriptors,
             site.connect_timeout_ms,
             site.load_fields,
-            config.max_answer,
+            config.max_body,
+            self.budget,
             self._clock,
             self.counters,
             log.failure,
@@ -90,6 +93,8 @@
             self.life,
             self._clock.earliest,
             self.descriptors,
+            self.budget,
+            config.max_body,
             self.counters,
             log.failure,
         )
@@ -175,6 +180,7 @@
         """The limits are those of one sidecar: its processes share them evenly while more than one lives."""
         self._others[where] = count
         self.descriptors.share_with(sum(self._others))
+        self.budget.share_with(sum(self._others))
         self.log.event("processes", beside=sum(self._others))
 
     def start(self) -> None:
--- a/larkcrank/protocol/http1.py
+++ b/larkcrank/protocol/http1.py
@@ -6,10 +6,11 @@
 
 import re
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 MAX_HEAD = 16 * 1024
-MAX_BODY = 64 * 1024
+HELD = 64 * 1024  # a body up to here is held whole; what is longer passes through in parts
+MAX_BODY = 40 << 20
 _MAX_CHUNK_LINE = 256
 
 _TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
@@ -107,8 +108,11 @@
     method: bytes
     target: bytes
     fields: Fields
-    body: bytes
+    body: bytes  # where it is not whole: its beginning
     keep_alive: bool
+    length: int | None = 0  # of the body as told; None: in chunks
+    whole: bool = True  # else the rest of the body is taken from the parser
+    is_old: bool = False  # HTTP/1.0: knows no chunks
 
 
 @dataclass(slots=True, frozen=True)
@@ -116,6 +120,7 @@
     status: int
     fields: Fields
     keep_alive: bool
+    length: int | None = 0  # of the body; None: only its end will tell
 
 
 @dataclass(slots=True, frozen=True)
@@ -149,9 +154,9 @@
 class _Body:
     """Takes a body out of the buffer as its framing tells. `too_large` is what a longer one is."""
 
-    __slots__ = ("_chunked", "_left", "_room", "_state", "_too_large", "_trailer", "done")
+    __slots__ = ("_chunked", "_left", "_room", "_state", "_too_large", "_trailer", "done", "to_end")
 
-    def __init__(self, length: int | None, limit: float, too_large: int) -> None:
+    def __init__(self, length: int | None, limit: float, too_large: int, to_end: bool = False) -> None:
         if length is not None and length > limit:
             raise MessageError(too_large, "body too large")
         self._room, self._too_large = limit, too_large
@@ -159,15 +164,22 @@
         self._left = length or 0  # of the body, or of the chunk under way
         self._state = "size"  # of a chunked body: size, data, end, trailer
         self._trailer = 0
+        self.to_end = to_end  # until the connection ends
         self.done = length == 0
 
     def take(self, buffer: bytearray, body: bytearray) -> None:
-        if not self._chunked:
+        if self.to_end:
+            self._room -= len(buffer)
+            if self._room < 0:
+                raise MessageError(self._too_large, "body too large")
+            body += buffer
+            buffer.clear()
+        elif not self._chunked:
             self._move(buffer, body)
             self.done = not self._left
-            return
-        while not self.done and self._step(buffer, body):
-            pass
+        else:
+            while not self.done and self._step(buffer, body):
+                pass
 
     def _move(self, buffer: bytearray, body: bytearray) -> None:
         count = min(self._left, len(buffer))
@@ -251,21 +263,32 @@
     def __init__(self, max_body: int = MAX_BODY) -> None:
         self._max_body = max_body
         self._buffer = bytearray()
-        self._head: tuple[bytes, bytes, Fields, bool] | None = None
+        self._head: Request | None = None
         self._framing = _Body(0, 0, 0)
         self._body = bytearray()
         self.wants_continue = False  # the client waits for word before it sends the body
+        self.passing = False  # the body of the last request is taken in parts
 
     @property
     def begun(self) -> bool:
         """Part of a request is here."""
-        return bool(self._buffer) or self._head is not None
+        return bool(self._buffer) or self._head is not None or self.passing
+
+    @property
+    def has_head(self) -> bool:
+        """The body is awaited."""
+        return self._head is not None
 
     def feed(self, data: bytes) -> None:
         self._buffer += data
 
     def next(self) -> Request | None:
-        """The next whole request. Raises `MessageError`; the connection is of no more use then."""
+        """The next request: whole, or with the beginning of a body over `HELD`, whose rest `part` gives.
+
+        Raises `MessageError`; the connection is of no more use then.
+        """
+        if self.passing:
+            return None
         if self._head is None:
             while self._buffer.startswith(b"\r\n"):  # an empty line before a request is read over
                 del self._buffer[:2]
@@ -274,33 +297,47 @@
                 return None
             self._head = self._read_head(lines)
         self._framing.take(self._buffer, self._body)
-        if not self._framing.done:
+        head = self._head
+        whole = self._framing.done
+        if not whole and (head.length or 0) <= HELD and len(self._body) <= HELD:
             return None
-        method, target, fields, keep_alive = self._head
-        request = Request(method, target, fields, bytes(self._body), keep_alive)
-        self._head, self.wants_continue = None, False
+        request = replace(head, body=bytes(self._body), whole=whole)
+        self._head, self.passing = None, not whole
+        self.wants_continue = self.wants_continue and not whole
         self._body.clear()
         return request
 
-    def _read_head(self, lines: list[bytes]) -> tuple[bytes, bytes, Fields, bool]:
+    def part(self) -> bytes:
+        """What has come since of the body that passes through. After its end `passing` is false."""
+        self._framing.take(self._buffer, self._body)
+        data = bytes(self._body)
+        self._body.clear()
+        if self._framing.done:
+            self.passing = self.wants_continue = False
+        return data
+
+    def _read_head(self, lines: list[bytes]) -> Request:
         match = _REQUEST_LINE.fullmatch(lines[0])
         if match is None:
             raise MessageError(400, "malformed request line")
         fields = _fields(lines[1:])
         keep_alive = _keep_alive(match[3], match[4], fields)
-        if len(fields.all(b"host")) != 1 and match[4] != b"0":
+        is_old = match[4] == b"0"
+        if len(fields.all(b"host")) != 1 and not is_old:
             raise MessageError(400, "not one Host header")
+        if is_old and fields.all(b"transfer-encoding"):
+            raise MessageError(400, "chunks in HTTP/1.0")
         length = None if _is_chunked(fields) else _length(fields) or 0
         self._framing = _Body(length, self._max_body, 413)
         expected = fields.list(b"expect")
         if expected not in ([], [b"100-continue"]):
             raise MessageError(417, "unknown expectation")
-        self.wants_continue = bool(expected) and length != 0
-        return match[1], match[2], fields, keep_alive
+        self.wants_continue = bool(expected) and length != 0 and not is_old
+        return Request(match[1], match[2], fields, b"", keep_alive, length, False, is_old)
 
 
 class ResponseParser:
-    """One response out of the bytes of a connection. Its end must show in its framing.
+    """One response out of the bytes of a connection.
 
     A stream has no largest body: whoever passes it on takes it in parts.
     """
@@ -330,6 +367,17 @@
             self._read_head(lines)
         self._framing.take(self._buffer, self._body)
 
+    def end(self) -> bool:
+        """The connection has ended in order; True where that is the body's end."""
+        if self.head is not None and self._framing.to_end:
+            self._framing.done = True
+        return self.complete
+
+    @property
+    def held(self) -> int:
+        """Bytes of the body that have come and were not taken."""
+        return len(self._body)
+
     def take_body(self) -> bytes:
         """What has come of the body since the last call."""
         body = bytes(self._body)
@@ -355,39 +403,53 @@
             return
         if status in (204, 304):
             length: int | None = 0
-        elif _is_chunked(fields):
-            length = None
         else:
-            length = _length(fields)
-            if length is None:  # ended by the connection's end: nothing tells a whole one from a broken one
-                raise MessageError(502, "response without a length")
-        self._framing = _Body(length, self._max_body, 502)
-        self.head = ResponseHead(status, fields, keep_alive)
+            length = None if _is_chunked(fields) else _length(fields)
+        to_end = length is None and not _is_chunked(fields)
+        self._framing = _Body(length, self._max_body, 502, to_end)
+        self.head = ResponseHead(status, fields, keep_alive and not to_end, length)
+
+
+CHUNKED = b"Transfer-Encoding: chunked"
 
 
-def request_bytes(method: bytes, target: bytes, lines: Iterable[bytes], body: bytes = b"") -> bytes:
+def request_bytes(
+    method: bytes, target: bytes, lines: Iterable[bytes], body: bytes = b"", framing: bytes | None = None
+) -> bytes:
+    """A whole request; with `framing` the head of one whose body follows."""
     head = [method + b" " + target + b" HTTP/1.1", *lines]
-    if body or method not in (b"GET", b"HEAD"):
-        head.append(b"Content-Length: %d" % len(body))
+    if framing is not None:
+        head.append(framing)
+    elif body or method not in (b"GET", b"HEAD"):
+        head.append(length_line(len(body)))
     return b"\r\n".join(head) + b"\r\n\r\n" + body
 
 
+def length_line(length: int) -> bytes:
+    return b"Content-Length: %d" % length
+
+
 def _status_line(status: int) -> bytes:
     return b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b"Status"))
 
 
-def response_bytes(status: int, lines: Iterable[bytes], body: bytes, close: bool = False) -> bytes:
-    head = [_status_line(status), *lines, b"Content-Length: %d" % len(body)]
-    if close:
-        head.append(b"Connection: close")
-    return b"\r\n".join(head) + b"\r\n\r\n" + body
+def response_bytes(
+    status: int, lines: Iterable[bytes], body: bytes, close: bool = False, kept: bool = False
+) -> bytes:
+    return stream_head_bytes(status, lines, length_line(len(body)), close, kept) + body
 
 
-def stream_head_bytes(status: int, lines: Iterable[bytes], close: bool = False) -> bytes:
-    """The head of an answer whose body follows in chunks."""
-    head = [_status_line(status), *lines, b"Transfer-Encoding: chunked"]
+def stream_head_bytes(
+    status: int, lines: Iterable[bytes], framing: bytes = CHUNKED, close: bool = False, kept: bool = False
+) -> bytes:
+    """The head of an answer. `kept` says so to a client of HTTP/1.0, for which that is not the rule."""
+    head = [_status_line(status), *lines]
+    if framing:  # none: the connection's end is the body's
+        head.append(framing)
     if close:
         head.append(b"Connection: close")
+    elif kept:
+        head.append(b"Connection: keep-alive")
     return b"\r\n".join(head) + b"\r\n\r\n"
 
 
--- a/larkcrank/protocol/platform.py
+++ b/larkcrank/protocol/platform.py
@@ -21,6 +21,7 @@
 _LOAD = b"srv-load"
 _MAX_WAIT_S = 3600.0
 _SECONDS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{0,15})?|\.[0-9]{1,15}")
+_ABSOLUTE = re.compile(rb"[Hh][Tt][Tt][Pp]://([^/?#]+)((?:[/?].*)?)")
 _REPLACED = frozenset((_DEADLINE,))
 
 
@@ -37,11 +38,18 @@
 
 
 def is_ready_check(request: http1.Request) -> bool:
-    return request.method == b"GET" and request.target.partition(b"?")[0] == READY_PATH
+    return request.method == b"GET" and _place_and_path(request.target)[1].partition(b"?")[0] == READY_PATH
 
 
 def first_part(target: bytes) -> str:
-    return target.partition(b"?")[0].lstrip(b"/").partition(b"/")[0].decode("latin-1")
+    path = _place_and_path(target)[1]
+    return path.partition(b"?")[0].lstrip(b"/").partition(b"/")[0].decode("latin-1")
+
+
+def _place_and_path(target: bytes) -> tuple[bytes, bytes]:
+    """Host and path with query; the host is empty but in the absolute form, which is for proxies."""
+    match = _ABSOLUTE.fullmatch(target)
+    return (match[1], match[2] or b"/") if match is not None else (b"", target)
 
 
 def read_call(request: http1.Request) -> Call:
@@ -71,11 +79,19 @@
 
 
 def request_to_endpoint(request: http1.Request, wait_ms: float) -> bytes:
-    """The request as it came, with the time that this hop waits."""
-    lines = [*request.fields.passed_on(but=_REPLACED), b"Req-Deadline: %.3f" % (max(wait_ms, 0.0) / 1000.0)]
-    if not request.fields.all(b"host"):  # HTTP/1.0 may leave it out, the next hop's 1.1 may not
+    """The request as it came, with the time that this hop waits; of one that passes through, the head."""
+    host, target = _place_and_path(request.target)
+    but = _REPLACED | {b"host"} if host else _REPLACED
+    lines = [*request.fields.passed_on(but), b"Req-Deadline: %.3f" % (max(wait_ms, 0.0) / 1000.0)]
+    if host:  # the next hop is no proxy: it gets the path, and the host that the target named
+        lines.append(b"Host: " + host)
+        target = target if target.startswith(b"/") else b"/" + target
+    elif not request.fields.all(b"host"):  # HTTP/1.0 may leave it out, the next hop's 1.1 may not
         lines.append(b"Host:")
-    return http1.request_bytes(request.method, request.target, lines, request.body)
+    if request.whole:
+        return http1.request_bytes(request.method, target, lines, request.body)
+    framing = http1.CHUNKED if request.length is None else http1.length_line(request.length)
+    return http1.request_bytes(request.method, target, lines, framing=framing)
 
 
 def result_of(head: http1.Response | http1.ResponseHead) -> Result:
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -1,20 +1,25 @@
 """The client side: requests from the application's connections, answers back to them."""
 
 import asyncio
+import math
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any, Protocol
 
 from larkcrank.core.interface import Effect, RequestClass, Settings
 from larkcrank.protocol import http1, platform
-from larkcrank.routing.exchange import Exchange, StreamAnswer
+from larkcrank.routing.exchange import Answer, Exchange, StreamAnswer, Upload
 from larkcrank.routing.life import Life
+from larkcrank.transport.budget import Budget
 from larkcrank.transport.connection import Connection, ConnectionLostError
 from larkcrank.transport.descriptors import Descriptors, Use
 
-PART_TIMEOUT_S = (
-    2.4  # a connection's first request must be whole by then, a later one so long after its begin
-)
+# A head must be whole by then, of a connection's first request counted from its accept. After it, so many
+# bytes of the body, or its end, must come every so often in which we read.
+PART_TIMEOUT_S = 2.4
+PART_BYTES = 16 * 1024
+STALL_S = 20.0  # a client that has taken nothing of a long answer for so long is not read to any more
+REST_AFTER_S = 10.0  # of a body that nobody wants any more: read and dropped, so that the answer is seen
 REST_S = 0.2  # a connection on which nothing was under way for so long may make way for another
 IDLE_S = 2.0  # one that was served is left open for so long at least, unless places run out
 IDLE_ABOVE = 0.5  # of the clients' places; with fewer taken, idle connections cost nothing
@@ -29,6 +34,7 @@
     def is_full(self) -> bool: ...
     def next_id(self) -> int: ...
     def take(self, exchange: Exchange) -> None: ...
+    def uploaded(self, exchange: Exchange) -> None: ...
     def client_gone(self, exchange: Exchange) -> None: ...
 
 
@@ -51,6 +57,8 @@
         life: Life,
         came_at: Callable[[], float],
         descriptors: Descriptors,
+        budget: Budget,
+        max_body: int,
         tally: Tally,
         failed: Callable[[str, BaseException], None],
     ) -> None:
@@ -70,6 +78,8 @@
         self._ids: set[str] = set()  # of the requests in hand
         self._sweeper: asyncio.TimerHandle | None = None
         self._descriptors = descriptors
+        self._budget = budget
+        self._max_body = max_body
         descriptors.add_spare(Use.CLIENT, self._make_way)
 
     @property
@@ -77,7 +87,7 @@
         return len(self._open)
 
     def accept(self, connection: Connection) -> None:
-        visit = _Visit(connection)
+        visit = _Visit(connection, self._max_body)
         self._open[connection] = visit
         self._tally.connections += 1
         loop = asyncio.get_running_loop()
@@ -118,7 +128,11 @@
         """End what is silent or stays half for too long: a flood of such clients must not fill the places."""
         now = asyncio.get_running_loop().time()
         for visit in list(self._open.values()):
-            if visit.busy or visit.over or visit in self._idle or now - visit.since < PART_TIMEOUT_S:
+            # Of a request that is whole, or answered, nothing more is due from the client.
+            waits = visit.uploading is not None and not visit.uploading.closed and not visit.blocked
+            if (visit.busy and not waits) or visit.over or visit in self._idle:
+                continue
+            if now - visit.since < PART_TIMEOUT_S:
                 continue
             if visit.parser.begun:
                 self._tally.bad_requests += 1
@@ -162,10 +176,12 @@
 
     async def _next_request(self, visit: "_Visit") -> http1.Request:
         parser, connection = visit.parser, visit.connection
-        continued = False
+        has_head = False
         while (request := parser.next()) is None:
-            if parser.wants_continue and not continued:
-                continued = True
+            if parser.has_head and not has_head:
+                has_head, visit.came, visit.since = True, 0, asyncio.get_running_loop().time()
+            if parser.wants_continue:
+                parser.wants_continue = False
                 await connection.write(http1.CONTINUE)
             if parser.begun:
                 await self._read(visit)
@@ -178,8 +194,18 @@
         return request
 
     async def _read(self, visit: "_Visit") -> None:
-        visit.parser.feed(await visit.connection.read())
+        had_head = visit.parser.has_head
+        data = await visit.connection.read(self._budget.step)
+        visit.parser.feed(data)
         visit.read_at = self._came_at()
+        if had_head:  # and so is at its body
+            self._progress(visit, len(data))
+
+    @staticmethod
+    def _progress(visit: "_Visit", count: int) -> None:
+        visit.came += count
+        if visit.came >= PART_BYTES:
+            visit.came, visit.since = 0, asyncio.get_running_loop().time()
 
     async def _handle(self, visit: "_Visit", request: http1.Request) -> bool:
         """Answer one request; False where the connection ends with it."""
@@ -197,6 +223,8 @@
         if self._desk.is_full():
             self._tally.turned_away_full += 1
             return await self._write(visit, request, 503, (), b"too many requests in hand")
+        if exchange.upload is not None:
+            return await self._take_long(visit, request, exchange, exchange.upload)
         self._ids.add(exchange.call.id)
         try:
             self._desk.take(exchange)
@@ -206,6 +234,60 @@
             if exchange.leave():  # it ends here without an answer: whatever the reason, tell
                 self._desk.client_gone(exchange)
 
+    async def _take_long(
+        self, visit: "_Visit", request: http1.Request, exchange: Exchange, upload: Upload
+    ) -> bool:
+        """A request whose body passes through: it is answered when it is, and its body read to the end."""
+        visit.uploading, visit.came, visit.since = exchange, 0, asyncio.get_running_loop().time()
+        self._ids.add(exchange.call.id)
+        pump = asyncio.get_running_loop().create_task(self._pump(visit, exchange, upload))
+        try:
+            self._desk.take(exchange)
+            first = exchange.first()
+            either: set[asyncio.Future[Any]] = {first, pump}
+            await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
+            if pump.done():
+                pump.result()
+                return await self._await_answer(visit, request, exchange)
+            visit.early = True  # the answer ends the connection: what follows on it can't be told apart
+            await self._answer(visit, request, exchange, first.result())
+            visit.connection.stop_sending()
+            await asyncio.wait((pump,), timeout=REST_AFTER_S)
+            return False
+        finally:
+            upload.end()
+            visit.uploading = None
+            pump.add_done_callback(_seen)  # it ends with the connection, if it has not
+            self._ids.discard(exchange.call.id)
+            if exchange.leave():
+                self._desk.client_gone(exchange)
+
+    async def _pump(self, visit: "_Visit", exchange: Exchange, upload: Upload) -> None:
+        """Read the body. Its last byte begins the request's time."""
+        parser = visit.parser
+        try:
+            if parser.wants_continue:
+                await visit.connection.write(http1.CONTINUE)
+            while parser.passing:
+                data = await visit.connection.read(self._budget.step)
+                parser.feed(data)
+                part = parser.part()
+                visit.read_at = self._came_at()
+                upload.put(part)
+                self._progress(visit, len(data))
+                if parser.passing and upload.is_full:
+                    visit.blocked = True
+                    await upload.room()
+                    visit.blocked, visit.came, visit.since = False, 0, asyncio.get_running_loop().time()
+            exchange.came_at = visit.read_at
+            exchange.deadline = min(exchange.came_at + exchange.wait_ms, self._life.latest)
+            visit.uploading = None
+            upload.finish(whole=True)
+            self._desk.uploaded(exchange)
+        except (ConnectionLostError, http1.MessageError):
+            upload.finish(whole=False)
+            raise
+
     async def _await_answer(self, visit: "_Visit", request: http1.Request, exchange: Exchange) -> bool:
         connection, first = visit.connection, exchange.first()
         while not first.done():
@@ -218,7 +300,11 @@
             await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
             if pending.done() and not first.done():
                 await self._read(visit)
-        answer = first.result()
+        return await self._answer(visit, request, exchange, first.result())
+
+    async def _answer(
+        self, visit: "_Visit", request: http1.Request, exchange: Exchange, answer: Answer | StreamAnswer
+    ) -> bool:
         if isinstance(answer, StreamAnswer):
             return await self._write_stream(visit, request, exchange, answer)
         return await self._write(visit, request, answer.status, answer.lines, answer.body)
@@ -226,28 +312,48 @@
     async def _write(
         self, visit: "_Visit", request: http1.Request, status: int, lines: tuple[bytes, ...], body: bytes
     ) -> bool:
-        close = self._ends_with(request)
-        await visit.connection.write(http1.response_bytes(status, lines, body, close))
+        close = self._ends_with(visit, request)
+        text = http1.response_bytes(status, lines, body, close, kept=request.is_old)
+        await self._write_part(visit.connection, text)
         return not close
 
     async def _write_stream(
         self, visit: "_Visit", request: http1.Request, exchange: Exchange, answer: StreamAnswer
     ) -> bool:
-        close = self._ends_with(request)
+        close = self._ends_with(visit, request)
         connection = visit.connection
-        connection.start_read().add_done_callback(lambda _: connection.closed and exchange.leave())
-        await connection.write(http1.stream_head_bytes(answer.status, answer.lines, close))
+        chunked = answer.length is None and not request.is_old
+        framing = b"" if answer.length is None else http1.length_line(answer.length)
+        if chunked:
+            framing = http1.CHUNKED
+        close = close or not framing  # HTTP/1.0 knows no chunks: the connection's end is the body's
+        if not visit.early:  # else the pump reads, and sees it
+            connection.start_read().add_done_callback(lambda _: connection.closed and exchange.leave())
+        head = http1.stream_head_bytes(answer.status, answer.lines, framing, close, kept=request.is_old)
+        await self._write_part(connection, head)
         while (part := await exchange.next_part()) is not None:
             if part:
-                await connection.write(http1.chunk_bytes(part))
+                await self._write_part(connection, http1.chunk_bytes(part) if chunked else part)
         if exchange.broken:
-            return False  # without the last chunk the client sees that it is not whole
-        await connection.write(http1.chunk_bytes(b""))
+            connection.break_off()  # the client sees that it is not whole, however it is framed
+            return False
+        if chunked:
+            await self._write_part(connection, http1.chunk_bytes(b""))
         return not close
 
-    def _ends_with(self, request: http1.Request) -> bool:
+    @staticmethod
+    async def _write_part(connection: Connection, data: bytes) -> None:
+        """A client may take long, but not for ever, over what it is given."""
+        try:
+            async with asyncio.timeout(STALL_S):
+                await connection.write(data)
+        except TimeoutError:
+            raise ConnectionLostError("the client takes nothing") from None
+
+    def _ends_with(self, visit: "_Visit", request: http1.Request) -> bool:
         """Whether the connection ends with this answer: it is asked to, or its place is wanted."""
-        return self._life.sends_away or self._descriptors.wanted or not request.keep_alive
+        wanted = self._life.sends_away or self._descriptors.wanted
+        return wanted or visit.early or not request.keep_alive
 
     def _exchange(self, request: http1.Request, came_at: float) -> Exchange:
         call = platform.read_call(request)
@@ -264,9 +370,11 @@
             call=call,
             request=request,
             came_at=came_at,
-            deadline=min(came_at + wait_ms, self._life.latest),
+            deadline=min(came_at + wait_ms, self._life.latest) if request.whole else math.inf,
             streaming=cls.streaming,
             tenant=self._tenants.get(call.owner, 0),
+            upload=None if request.whole else Upload(request.body, self._budget),
+            wait_ms=wait_ms,
         )
 
     def _class_of(self, request: http1.Request, call: platform.Call) -> tuple[int, RequestClass]:
@@ -307,7 +415,7 @@
     """Method, body and key follow from the class; else what a server makes of it is not what we decide by."""
     if request.method != (b"GET" if effect is Effect.SAFE else b"POST"):
         raise http1.MessageError(405, "method does not fit the class")
-    if effect is Effect.SAFE and request.body:
+    if effect is Effect.SAFE and (request.body or not request.whole):
         raise http1.MessageError(400, "body on a request of a class that is safe to repeat")
     if effect is Effect.KEYED and not call.has_key:
         raise http1.MessageError(400, "no Idempotency-Key on a request of a keyed class")
@@ -315,17 +423,40 @@
         raise http1.MessageError(400, "Idempotency-Key on a request of a class that has none")
 
 
+def _seen(task: "asyncio.Task[None]") -> None:
+    if not task.cancelled():
+        task.exception()
+
+
 class _Visit:
     """One of the application's connections."""
 
-    __slots__ = ("busy", "connection", "over", "parser", "read_at", "served", "since", "task")
-
-    def __init__(self, connection: Connection) -> None:
+    __slots__ = (
+        "blocked",
+        "busy",
+        "came",
+        "connection",
+        "early",
+        "over",
+        "parser",
+        "read_at",
+        "served",
+        "since",
+        "task",
+        "uploading",
+    )
+
+    def __init__(self, connection: Connection, max_body: int) -> None:
         self.connection = connection
-        self.parser = http1.RequestParser()
+        self.parser = http1.RequestParser(max_body)
+        self.uploading: Exchange | None = None  # the request whose body passes through just now
+        self.blocked = False  # while its endpoint has no room for more: nothing is read
+        self.early = False  # it is answered before its body's end
+        self.came = 0  # bytes of a body since it was last seen to go on
         self.busy = False  # from a request's last byte in to its answer's last byte out
         self.over = False  # told of its error; only what it still sends is read
-        self.since = asyncio.get_running_loop().time()  # came, was answered last, or began its request
+        # Came, was answered last, began its request, or went on with its body.
+        self.since = asyncio.get_running_loop().time()
         self.read_at = 0.0  # when what was read last can have come: a request sent ahead waits on our side
         self.served = False
         self.task: asyncio.Task[None] | None = None
--- a/larkcrank/routing/driver.py
+++ b/larkcrank/routing/driver.py
@@ -28,6 +28,7 @@
     StreamStarted,
     Tell,
     TimerFired,
+    Uploaded,
     Watch,
 )
 from larkcrank.protocol import platform
@@ -114,10 +115,8 @@
     def take(self, exchange: Exchange) -> None:
         self._tally.taken += 1
         self._open[exchange.id] = exchange
-        left = exchange.deadline - self._clock()
-        self._guards[exchange.id] = self._loop.call_later(
-            (left + self._overdue_ms) / 1000.0, self._overdue, exchange
-        )
+        uploading = exchange.upload is not None
+        left = exchange.wait_ms if uploading else self._guard(exchange)
         self.feed(
             Request(
                 id=exchange.id,
@@ -125,9 +124,24 @@
                 time_left_ms=left,
                 tenant=exchange.tenant,
                 is_retry=exchange.call.is_retry,
+                uploading=uploading,
             )
         )
 
+    def uploaded(self, exchange: Exchange) -> None:
+        """Its last byte has come: its time begins."""
+        if self._open.get(exchange.id) is exchange:
+            left = self._guard(exchange)
+            self._servers.uploaded(exchange)
+            self.feed(Uploaded(exchange.id, left))
+
+    def _guard(self, exchange: Exchange) -> float:
+        left = exchange.deadline - self._clock()
+        self._guards[exchange.id] = self._loop.call_later(
+            (left + self._overdue_ms) / 1000.0, self._overdue, exchange
+        )
+        return left
+
     def client_gone(self, exchange: Exchange) -> None:
         self._tally.clients_gone += 1
         self._forget(exchange)
@@ -156,7 +170,16 @@
             self._forget(exchange)
         elapsed = self._clock() - attempt.started
         self.feed(
-            Outcome(exchange.id, attempt.index, attempt.address, result, elapsed, exchange.closed, load)
+            Outcome(
+                exchange.id,
+                attempt.index,
+                attempt.address,
+                result,
+                elapsed,
+                exchange.closed,
+                load,
+                again=exchange.upload is None or exchange.upload.again,
+            )
         )
 
     def _stream_started(self, attempt: Attempt) -> None:
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -9,11 +9,13 @@
 from larkcrank.core.interface import Address, Result, State
 from larkcrank.protocol import http1, platform
 from larkcrank.protocol.discovery import Listing
-from larkcrank.routing.exchange import Exchange
+from larkcrank.routing.exchange import Exchange, Upload
+from larkcrank.transport.budget import Budget
 from larkcrank.transport.connection import Connecting, Connection, ConnectionLostError, NoRoomError
 from larkcrank.transport.descriptors import Descriptors, Use
 from larkcrank.transport.pool import Pool
 
+STALL_S = 20.0  # without a byte of a long answer: its endpoint has gone without a word
 PROBE_TIMEOUT_TIMES = 2.0  # of the connect time-out: a probe's answer is made beside the queue
 
 
@@ -32,6 +34,7 @@
     __slots__ = (
         "_report",
         "address",
+        "answered",
         "begun",
         "connection",
         "ended",
@@ -55,6 +58,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.begun = False  # its first byte was handed over
         self.written = False  # and its last one
+        self.answered = False  # a long answer has begun
         self.ended = False
         self._report = report
 
@@ -79,7 +83,8 @@
         descriptors: Descriptors,
         connect_timeout_ms: float,
         load_fields: tuple[str, ...],
-        max_answer: int,
+        max_body: int,
+        budget: Budget,
         now: Callable[[], float],
         tally: Tally,
         failed: Callable[[str, BaseException], None],
@@ -88,7 +93,8 @@
         self._descriptors = descriptors
         self._connect_timeout_ms = connect_timeout_ms
         self._load_fields = load_fields
-        self._max_answer = max_answer
+        self._max_body = max_body
+        self._budget = budget
         self._now = now
         self._tally = tally
         self._failed = failed
@@ -141,9 +147,20 @@
         if exchange.closed or address not in self._places or stop_at <= now:
             attempt.end(Result.NOT_SENT)
             return
-        attempt.timer = self._loop.call_later((stop_at - now) / 1000.0, self._time_out, attempt)
+        if stop_at < math.inf:
+            self._stop_at(attempt, stop_at)
         self._keep(self._run(attempt, stop_at))
 
+    def uploaded(self, exchange: Exchange) -> None:
+        """The time of what is out for it runs from now on."""
+        for attempt in self._attempts.values():
+            if attempt.exchange is exchange and attempt.timer is None:
+                self._stop_at(attempt, exchange.deadline)
+
+    def _stop_at(self, attempt: Attempt, when: float) -> None:
+        wait_s = max(when - self._now(), 0.0) / 1000.0
+        attempt.timer = self._loop.call_later(wait_s, self._time_out, attempt)
+
     def cancel(self, number: int, index: int) -> None:
         attempt = self._attempts.get((number, index))
         if attempt is not None:
@@ -163,7 +180,12 @@
     def _ended(self, attempt: Attempt, result: Result, load: tuple[float, ...]) -> None:
         self._attempts.pop((attempt.exchange.id, attempt.index), None)
         waited = self._now() - attempt.started > self._connect_timeout_ms
-        unanswered = attempt.written and result in (Result.TIMEOUT, Result.CANCELLED) and waited
+        unanswered = (
+            attempt.written
+            and not attempt.answered
+            and result in (Result.TIMEOUT, Result.CANCELLED)
+            and waited
+        )
         if unanswered or result in (Result.RESET, Result.CONNECT_FAILED):
             # What ended one connection has likely ended them all; and a machine that says nothing may be
             # gone: a request written to an old connection may have run, a new one that fails proves not.
@@ -203,24 +225,83 @@
             return
         self._tally.sends += 1
         attempt.begun = True
-        await connection.write(platform.request_to_endpoint(exchange.request, stop_at - self._now()))
-        if attempt.ended:
+        wait_ms = exchange.wait_ms if stop_at == math.inf else stop_at - self._now()
+        head = platform.request_to_endpoint(exchange.request, wait_ms)
+        if exchange.upload is None:
+            await connection.write(head)
+            self._written(attempt)
+            await self._read_answer(attempt, connection)
             return
-        attempt.written = True
-        exchange.written += 1
-        parser = http1.ResponseParser(math.inf if exchange.streaming else self._max_answer)
+        exchange.upload.begin()
+        sending = self._loop.create_task(self._send_body(attempt, connection, head, exchange.upload))
+        try:
+            await self._read_answer(attempt, connection, sending)
+        finally:
+            sending.cancel()
+
+    @staticmethod
+    def _written(attempt: Attempt) -> None:
+        if not attempt.ended:
+            attempt.written = True
+            attempt.exchange.written += 1
+
+    async def _send_body(self, attempt: Attempt, connection: Connection, head: bytes, upload: Upload) -> None:
+        """Pass the body on as it comes. Where that breaks, so does the answer that is awaited meanwhile.
+
+        It counts as written from before its last byte is handed over: whether the kernel took that one
+        could be learnt too late, after the answer's side has seen the connection break.
+        """
+        left = attempt.exchange.request.length
+        try:
+            await connection.write(head)
+            while (part := await upload.next_part()) is not None:
+                if left is None:
+                    await connection.write(http1.chunk_bytes(part))
+                    continue
+                left -= len(part)
+                if not left:
+                    self._written(attempt)
+                await connection.write(part)
+            if left is None:
+                self._written(attempt)
+                await connection.write(http1.chunk_bytes(b""))
+        except ConnectionLostError:
+            if upload.broken or upload.over:
+                connection.break_off()  # the endpoint must not take it for the whole
+                attempt.end(Result.NOT_SENT)  # which says nothing of the server
+            attempt.end(Result.RESET if attempt.written else Result.CONNECT_FAILED)
+
+    async def _read_answer(
+        self, attempt: Attempt, connection: Connection, sending: "asyncio.Task[None] | None" = None
+    ) -> None:
+        exchange, address = attempt.exchange, attempt.address
+        parser = http1.ResponseParser(math.inf if exchange.streaming else self._max_body)
         while parser.head is None:
             parser.feed(await connection.read())
         result = platform.result_of(parser.head)
-        if exchange.streaming and result is Result.OK:
-            await self._pass_stream(attempt, connection, parser)
+        if sending is not None and not sending.done():
+            sending.cancel()  # it answers before it has read everything: it gets no more, nor another request
+        long = (parser.head.length or 0) > http1.HELD
+        if result is not Result.OK and long:
+            attempt.end(result)
             return
-        while not parser.complete:
-            parser.feed(await connection.read())
+        while not (parser.complete or long or (exchange.streaming and result is Result.OK)):
+            try:
+                parser.feed(await connection.read())
+            except ConnectionLostError as error:
+                if not error.in_order or not parser.end():
+                    raise
+            long = parser.held > http1.HELD
         if attempt.ended:
             return
+        if result is Result.OK and (exchange.streaming or not parser.complete):
+            await self._pass_stream(attempt, connection, parser)
+            return
+        if not parser.complete:
+            attempt.end(result)  # a long word of trouble: its beginning says it all
+            return
         response = parser.response()
-        if response.keep_alive:
+        if response.keep_alive and (sending is None or attempt.written):
             attempt.connection = None
             self._pool.put(address, connection)
         if result is Result.OK:
@@ -244,23 +325,33 @@
     ) -> None:
         """From its first part on the answer is the client's: neither deadline nor time-out runs."""
         exchange, head = attempt.exchange, parser.head
-        if attempt.ended or head is None or not exchange.begin_stream(200, head.fields.passed_on()):
+        if attempt.ended or head is None:
+            return
+        if not exchange.begin_stream(200, head.fields.passed_on(), head.length):
             attempt.end(Result.CANCELLED)
             return
         if attempt.timer is not None:
             attempt.timer.cancel()
+        attempt.answered = True
         exchange.on_left = partial(attempt.end, Result.CANCELLED)
         self.on_stream(attempt)
         try:
             while True:
-                await exchange.add_part(parser.take_body())
+                await self._add_part(exchange, parser.take_body())
                 if exchange.broken:  # the client has gone
                     attempt.end(Result.CANCELLED)
                     return
                 if parser.complete:
                     break
-                parser.feed(await connection.read())
-        except (ConnectionLostError, http1.MessageError):
+                async with asyncio.timeout(STALL_S):
+                    data = await connection.read(self._budget.step)
+                parser.feed(data)
+        except ConnectionLostError as error:
+            if not (error.in_order and parser.end()):
+                exchange.end_stream(whole=False)
+                attempt.end(Result.RESET)
+                return
+        except (TimeoutError, http1.MessageError):
             exchange.end_stream(whole=False)
             attempt.end(Result.RESET)
             return
@@ -270,6 +361,16 @@
             self._pool.put(attempt.address, connection)
         attempt.end(Result.OK, platform.load_of(head.fields, self._load_fields))
 
+    async def _add_part(self, exchange: Exchange, data: bytes) -> None:
+        """Hand a part to the client side; counted until that has room for it."""
+        if not data:
+            return
+        self._budget.hold(len(data))
+        try:
+            await exchange.add_part(data)
+        finally:
+            self._budget.give_back(len(data))
+
     async def _probe(self, address: Address) -> None:
         started, result = self._now(), Result.NOT_SENT
         load: tuple[float, ...] = ()
@@ -285,7 +386,7 @@
                     await connecting.wait(self._connect_timeout_ms)
                     await connection.write(http1.request_bytes(b"GET", target, (b"Host: " + address,)))
                     result = Result.RESET
-                    parser = http1.ResponseParser()
+                    parser = http1.ResponseParser(http1.HELD)
                     while not parser.complete:
                         parser.feed(await connection.read())
                     response = parser.response()
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import socket
+import struct
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -15,7 +16,11 @@
 
 
 class ConnectionLostError(Exception):
-    """The connection ended or broke."""
+    """The connection ended, `in_order` or broken."""
+
+    def __init__(self, reason: str, in_order: bool = False) -> None:
+        super().__init__(reason)
+        self.in_order = in_order
 
 
 class Connection:
@@ -37,26 +42,28 @@
     def closed(self) -> bool:
         return self._closed or self.stream.closed()
 
-    def start_read(self) -> "asyncio.Future[bytes]":
+    def start_read(self, most: int = CHUNK) -> "asyncio.Future[bytes]":
         if self._reading is None:
+            self.stream.read_chunk_size = most
             try:
-                self._reading = asyncio.ensure_future(self.stream.read_bytes(CHUNK, partial=True))
+                self._reading = asyncio.ensure_future(self.stream.read_bytes(most, partial=True))
             except StreamClosedError:
                 self._reading = asyncio.get_running_loop().create_future()
                 self._reading.set_exception(StreamClosedError())
             self._reading.add_done_callback(_seen)
         return self._reading
 
-    async def read(self) -> bytes:
+    async def read(self, most: int = CHUNK) -> bytes:
         """Some bytes. Raises `ConnectionLostError` at the end."""
-        pending = self.start_read()
+        pending = self.start_read(most)
         if pending.cancelled():
             raise ConnectionLostError("a reader gave up before")
         try:
             data = await pending
         except StreamClosedError as error:
             self._reading = None
-            raise ConnectionLostError(str(error.real_error or "closed")) from None
+            in_order = error.real_error is None and not self._closed
+            raise ConnectionLostError(str(error.real_error or "closed"), in_order) from None
         # A reader that gives up leaves its dead read here: the stream can't begin another one. (A shield
         # would spare it, for one more turn of the loop on every read.)
         self._reading = None
@@ -95,6 +102,13 @@
         self.stream.close()
         self._descriptors.give_back(self._use)
 
+    def break_off(self) -> None:
+        """Close so that the other side can't take what it has for the whole."""
+        if not self.closed:
+            linger = struct.pack("ii", 1, 0)
+            self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.close()
+
     def stop_sending(self) -> None:
         """Tell the other side that nothing more comes."""
         try:
