--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -168,6 +168,7 @@
     tenant: int
     came_at: float
     aim_at: float
+    ends_at: float = 0.0  # the backstop
     last_call: float = 0.0  # held longer than this, its answer would miss the aim
     rank: tuple[bool, float, float] = (False, 0.0, 0.0)  # in the held queue
     uploading: bool = False  # its body still comes
@@ -249,6 +250,9 @@
                 )
             case Uploaded() if (job := self._jobs.get(event.id)) is not None:
                 self._time(job, event.time_left_ms)
+                if job in self._held:
+                    self._held.remove(job)
+                    self._hold(job)
                 for index, attempt in job.out.items():
                     attempt.sent_at = self._now
                     self._expect(job, index, attempt)
@@ -303,7 +307,8 @@
         while self._due and self._due[0][0] <= self._now:
             when, _, what, about = heapq.heappop(self._due)
             if isinstance(about, Job) and self._jobs.get(about.id) is about:
-                self._give_up(about)
+                if when >= about.ends_at and not (about.uploading and about.out):
+                    self._give_up(about)
             elif isinstance(about, tuple) and (attempt := self._attempts.get(about)) is not None:
                 if when < self._now - self._window:  # we were late ourselves: answers may be waiting too
                     self._at(self._now + 2 * self._set.tick_ms, what, about)
@@ -335,6 +340,8 @@
 
     def _last_call(self, job: Job) -> float:
         """When it is too late to send: an answer would miss the aim."""
+        if job.uploading:
+            return math.inf
         return job.aim_at - min(LAST_CALL_TIMES * self._recent[job.index], LAST_CALL_AIM * job.cls.aim_ms)
 
     def _brake(self, server: Server) -> Brake:
@@ -405,8 +412,8 @@
         """A request's time begins now, or, while its body still comes, once that has come."""
         deadline, job.uploading = self._now + left, uploading
         job.aim_at = deadline if job.cls.late_worth else min(self._now + job.cls.aim_ms, deadline)
-        if not uploading:
-            self._at(deadline - 2 * self._set.tick_ms, "backstop", job)
+        job.ends_at = deadline - 2 * self._set.tick_ms
+        self._at(job.ends_at, "backstop", job)
 
     def _hold(self, job: Job) -> None:
         """Queue a request: tenants within their share, then what is worth most, then who can wait least."""
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -251,7 +251,7 @@
                 return await self._await_answer(visit, request, exchange)
             visit.early = True  # the answer ends the connection: what follows on it can't be told apart
             await self._answer(visit, request, exchange, first.result())
-            visit.connection.stop_sending()
+            # Whoever still writes may look for the answer only then: to end our side now would cut it off.
             await asyncio.wait((pump,), timeout=REST_AFTER_S)
             return False
         finally:
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -15,6 +15,7 @@
 from larkcrank.transport.descriptors import Descriptors, Use
 from larkcrank.transport.pool import Pool
 
+TAKES_S = 10.0  # an endpoint that takes not even one part of a body in so long will not take the rest
 STALL_S = 20.0  # without a byte of a long answer: its endpoint has gone without a word
 PROBE_TIMEOUT_TIMES = 2.0  # of the connect time-out: a probe's answer is made beside the queue
 
@@ -152,9 +153,10 @@
         self._keep(self._run(attempt, stop_at))
 
     def uploaded(self, exchange: Exchange) -> None:
-        """The time of what is out for it runs from now on."""
+        """The time of what is out for it runs from now on: a slow client must not look like a slow server."""
         for attempt in self._attempts.values():
             if attempt.exchange is exchange and attempt.timer is None:
+                attempt.started = self._now()
                 self._stop_at(attempt, exchange.deadline)
 
     def _stop_at(self, attempt: Attempt, when: float) -> None:
@@ -255,17 +257,16 @@
         try:
             await connection.write(head)
             while (part := await upload.next_part()) is not None:
-                if left is None:
-                    await connection.write(http1.chunk_bytes(part))
-                    continue
-                left -= len(part)
-                if not left:
-                    self._written(attempt)
-                await connection.write(part)
+                if left is not None:
+                    left -= len(part)
+                    if not left:
+                        self._written(attempt)
+                async with asyncio.timeout(TAKES_S):
+                    await connection.write(http1.chunk_bytes(part) if left is None else part)
             if left is None:
                 self._written(attempt)
                 await connection.write(http1.chunk_bytes(b""))
-        except ConnectionLostError:
+        except (ConnectionLostError, TimeoutError):
             if upload.broken or upload.over:
                 connection.break_off()  # the endpoint must not take it for the whole
                 attempt.end(Result.NOT_SENT)  # which says nothing of the server
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -39,6 +39,7 @@
     StreamStarted,
     Tenant,
     TimerFired,
+    Uploaded,
     Watch,
 )
 
@@ -1097,3 +1098,66 @@
     assert not attempt.missed
     desk.wait(40.0)
     assert attempt.missed
+
+
+def upload(desk: Desk, cls: int = TAKE, left: float = 4000.0) -> tuple[int, list[Action]]:
+    desk.ids += 1
+    return desk.ids, desk.do(Request(desk.ids, cls, left, uploading=True))
+
+
+def test_a_body_on_its_way_owes_nothing_and_its_time_runs_from_its_end() -> None:
+    # On a bulk day bodies of seconds counted as answers of seconds: servers were benched, requests refused.
+    desk = Desk(servers=1)
+    desk.warm()
+    number, actions = upload(desk)
+    assert sends(actions) == [address(0)]
+    desk.wait(20_000.0)  # far over its deadline
+    server = desk.balancer._servers[address(0)]
+    assert (server.owes, server.brake.limit, server.benched_until) == ([], math.inf, -math.inf)
+    assert not any(isinstance(action, Refuse | Fail) for action in desk.do(Uploaded(number, 4000.0)))
+    assert len(server.owes) == 1 and server.owes[0].sent_at == desk.now
+    last = desk.wait(4000.0)
+    assert [action for action in last if isinstance(action, Refuse | Fail)] == [Fail(number)]
+
+
+def test_a_body_on_its_way_waits_for_a_server_as_long_as_it_comes() -> None:
+    desk = Desk(servers=1)
+    desk.warm()
+    desk.balancer._servers[address(0)].benched_until = math.inf
+    number, actions = upload(desk)
+    actions += desk.wait(3000.0)
+    assert not any(isinstance(action, Send | Refuse | Fail) for action in actions)
+    desk.do(Uploaded(number, 4000.0))
+    assert any(isinstance(action, Refuse) for action in desk.wait(1000.0))  # at its last call, as any other
+
+
+def test_a_body_that_is_held_back_without_a_server_is_given_up_at_its_deadline() -> None:
+    desk = Desk(servers=0)
+    number, _ = upload(desk, left=1000.0)
+    assert [action for action in desk.wait(1000.0) if isinstance(action, Refuse)] == [Refuse(number)]
+
+
+@pytest.mark.parametrize("again", [True, False])
+def test_what_is_not_held_any_more_is_not_sent_again(again: bool) -> None:
+    desk = Desk(servers=2)
+    desk.warm()
+    number, actions = upload(desk)
+    where = sends(actions)[0]
+    actions = desk.do(Outcome(number, 0, where, Result.CONNECT_FAILED, 5.0, False, again=again))
+    if again:
+        assert sends(actions) and sends(actions) != [where]
+    else:
+        assert [action for action in actions if isinstance(action, Send | Refuse)] == [Refuse(number)]
+
+
+def test_a_long_answer_counts_as_given_at_its_first_part() -> None:
+    desk = Desk(servers=1)
+    desk.warm()
+    number, actions = desk.take()
+    desk.wait(40.0)
+    desk.do(StreamStarted(number, 0, sends(actions)[0], 40.0))
+    server = desk.balancer._servers[address(0)]
+    assert (server.owes, desk.balancer._attempts) == ([], {})
+    desk.wait(20_000.0)  # a slow reader
+    desk.do(Outcome(number, 0, sends(actions)[0], Result.CANCELLED, 20_040.0, True))
+    assert (server.fails, server.brake.limit, server.benched_until) == (0, math.inf, -math.inf)
