--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -1,7 +1,7 @@
 """Every decision of larkcrank: one Balancer an instance, events in, actions out.
 
-Types, events and actions: larkcrank/core/interface.py. Why it does what it does: docs/design.md.
-All times are milliseconds on the caller's clock, all rates sends a millisecond.
+Types, events and actions: larkcrank/core/interface.py; what it remembers: larkcrank/core/state.py.
+Why: docs/design.md. Times are milliseconds on the caller's clock, rates sends a millisecond.
 """
 
 import bisect
@@ -9,14 +9,15 @@
 import math
 import zlib
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from random import Random
 
 from larkcrank.core.interface import (
-    Action, Address, Cancel, ClientGone, DiscoveryFailed, Effect, Endpoint, Event, Fail, Group, Log, Outcome,
-    Probe, ProbeResult, Refuse, Request, RequestClass, Result, Send, ServerList, Settings, SetTimer, State,
+    Action, Address, Cancel, ClientGone, DiscoveryFailed, Effect, Event, Fail, Group, Log, Outcome,
+    Refuse, Request, Result, Send, ServerList, Settings, SetTimer, State,
     StreamStarted, TimerFired, Uploaded, Watch,
 )  # fmt: skip
+from larkcrank.core.state import Attempt, Brake, Job, Learnt, Meter, Server
 
 BETA = 0.20  # share of the rate that an event takes off (CARD)
 REGAIN_WINDOWS = 20  # windows until a cut limit is back at M; fixes C ("tens of windows")
@@ -58,140 +59,41 @@
 ASK_AGAIN_MS = (500.0, 8000.0)  # least and longest wait for another call
 
 
-@dataclass(slots=True)
-class Meter:
-    """A count that fades with a time constant; as a rate, corrected for its youth."""
-
-    born: float
-    at: float = -math.inf
-    count: float = 0.0
-
-    def add(self, now: float, span: float) -> None:
-        # Young from its first count on: clients come long after a start, and all at once.
-        self.born = now if self.at == -math.inf else self.born
-        self.count, self.at = self.faded(now, span) + 1.0, now
-
-    def faded(self, now: float, span: float) -> float:
-        return self.count * math.exp((self.at - now) / span)
-
-    def rate(self, now: float, span: float) -> float:
-        return self.faded(now, span) / (span * (1.0 - math.exp(-max(now - self.born, span / 4) / span)))
-
-
-@dataclass(slots=True, eq=False)
-class Brake:
-    """CARD's limit on sends: cut when they outrun answers, regrown along a cubic."""
-
-    window_at: float  # the window under way began
-    sends: Meter
-    settled: Meter  # sends that were answered in time or missed, since the last event
-    missed: Meter  # of these: failed, or overdue
-    share: float = CHANCE_SHARE
-    credit: float = 0.0  # sends left of the quota
-    limit: float = math.inf  # sends a millisecond; infinite: no event yet, nothing binds
-    saturated: float = 0.0  # M
-    event_at: float = -math.inf
-    rose_at: float = -math.inf
-
-    def settle(self, now: float, window: float, span: float, sent_at: float, missed: bool) -> None:
-        """Count one send as answered in time or missed."""
-        if missed and sent_at < self.event_at:
-            return  # one episode, one cut: what went out before the cut belongs to it
-        self.settled.add(now, span)
-        if missed:
-            self.missed.add(now, span)
-            self.review(now, window, span)
-
-    def review(self, now: float, window: float, span: float) -> None:
-        """Compare sends with answers: cut the limit, let it rise, or leave it."""
-        chance = max(CHANCE_MISSES, self.share * self.settled.faded(now, span))
-        if self.missed.faded(now, span) > chance:
-            if now - self.rose_at > HYSTERESIS_WINDOWS * window:
-                rate = min(self.sends.rate(now, max(span, RATE_MS)), self.limit)
-                self.saturated = max(rate, 1 / span)  # M: not of the pause alone; floor: one send a span
-                self.limit = (1 - BETA) * self.saturated
-                self.event_at = self.rose_at = now
-                self.settled, self.missed = Meter(now), Meter(now)
-        elif self.limit < math.inf:
-            regain = REGAIN_WINDOWS * window  # K; C follows from it as BETA * M / K ** 3
-            growth = BETA * self.saturated / regain**3
-            self.limit = growth * (now - self.event_at - regain) ** 3 + self.saturated
-            self.rose_at = now
-
-    def has_quota(self, now: float, window: float, span: float) -> bool:
-        """Whether the window's quota allows a send."""
-        if self.limit < math.inf and now >= self.window_at + window:
-            self.review(now, window, span)
-            self.credit = min(
-                self.credit + self.limit * (now - self.window_at), max(1.0, self.limit * window)
-            )
-            self.window_at = now
-        return self.limit == math.inf or self.credit >= 1.0
-
-
-@dataclass(slots=True, eq=False)
-class Server:
-    """A server as this instance knows it by its own traffic."""
-
-    endpoint: Endpoint
-    brake: Brake
-    place: float  # in the ring, from 0 to 1
-    passed: float  # times the turn came by, as its size counts them
-    owes: list["Attempt"] = field(default_factory=list)  # attempts out that may still be answered
-    fails: int = 0  # failures, halved by each answer
-    benched_until: float = -math.inf  # no turns
-    unheard: bool = False  # its last attempt found nobody: a probe, not a request, goes before the next turn
-    answers: int = -1  # class of its last answer; below 0: none since its last failure
-    spared: dict[int, tuple[int, float]] = field(
-        default_factory=dict
-    )  # failures of one class, wary of it until
-    size: float = 1.0  # as listed, 1: the mean
-    wary_until: float = -math.inf  # turns only where no other server has quota
-    cold_credit: float = 1.0  # sends left of what it surely can do while it is cold ...
-    cold_at: float = 0.0  # ... counted up to here
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    server: Server
-    sent_at: float
-    index: int  # of its class
-    missed: bool = False
-
-
-@dataclass(slots=True, eq=False)
-class Job:
-    """A request taken and not yet answered."""
-
-    id: int
-    index: int  # of its class
-    cls: RequestClass
-    tenant: int
-    came_at: float
-    aim_at: float
-    ends_at: float = 0.0  # the backstop
-    last_call: float = 0.0  # held longer than this, its answer would miss the aim
-    rank: tuple[bool, float, float] = (False, 0.0, 0.0)  # in the held queue
-    uploading: bool = False  # its body still comes
-    sends: int = 0
-    out: dict[int, Attempt] = field(default_factory=dict)
-    ran: Attempt | None = None  # the first attempt that may have run
-    tried: list[Server] = field(default_factory=list)
-
-
-@dataclass(slots=True)
-class Learnt:
-    """What the next process of this instance needs to go on from here; owed attempts stay with this one."""
-
-    usual: list[float]
-    recent: list[float]
-    rates: list[Meter]  # of arrivals, sends, answers in time, then the tenants'
-    worth: float
-    taken: int
-    retries: float
-    turn: int
-    cells: dict[int, Brake]
-    servers: list[Server]
+def settle(brake: Brake, now: float, window: float, span: float, sent_at: float, missed: bool) -> None:
+    """Count one send as answered in time or missed."""
+    if missed and sent_at < brake.event_at:
+        return  # one episode, one cut: what went out before the cut belongs to it
+    brake.settled.add(now, span)
+    if missed:
+        brake.missed.add(now, span)
+        review(brake, now, window, span)
+
+
+def review(brake: Brake, now: float, window: float, span: float) -> None:
+    """Compare sends with answers: cut the limit, let it rise, or leave it."""
+    chance = max(CHANCE_MISSES, brake.share * brake.settled.faded(now, span))
+    if brake.missed.faded(now, span) > chance:
+        if now - brake.rose_at > HYSTERESIS_WINDOWS * window:
+            rate = min(brake.sends.rate(now, max(span, RATE_MS)), brake.limit)
+            brake.saturated = max(rate, 1 / span)  # M: not of the pause alone; floor: one send a span
+            brake.limit = (1 - BETA) * brake.saturated
+            brake.event_at = brake.rose_at = now
+            brake.settled, brake.missed = Meter(now), Meter(now)
+    elif brake.limit < math.inf:
+        regain = REGAIN_WINDOWS * window  # K; C follows from it as BETA * M / K ** 3
+        growth = BETA * brake.saturated / regain**3
+        brake.limit = growth * (now - brake.event_at - regain) ** 3 + brake.saturated
+        brake.rose_at = now
+
+
+def has_quota(brake: Brake, now: float, window: float, span: float) -> bool:
+    """Whether the window's quota allows a send."""
+    if brake.limit < math.inf and now >= brake.window_at + window:
+        review(brake, now, window, span)
+        most = max(1.0, brake.limit * window)
+        brake.credit = min(brake.credit + brake.limit * (now - brake.window_at), most)
+        brake.window_at = now
+    return brake.limit == math.inf or brake.credit >= 1.0
 
 
 class Balancer:
@@ -243,8 +145,6 @@
                 self._ask_in(self._ask_wait * self._rng.random())
             case ClientGone():
                 self._close(event.id)
-            case ProbeResult():
-                self._probed(event)
             case StreamStarted():  # answered; how long its client takes to read it is not the server's time
                 self._outcome(
                     Outcome(event.id, event.attempt, event.address, Result.OK, event.elapsed_ms, True)
@@ -278,17 +178,14 @@
         rates = [self._arrivals, self._sends, self._served, *self._tenants]
         servers = [replace(server, owes=[]) for server in self._servers.values()]
         known = self._worth, self._taken, self._retries, self._turn
-        return Learnt(self._usual, self._recent, rates, *known, self._cells, servers)
+        return Learnt(self._usual, self._recent, rates, known, self._cells, servers)
 
     def take_over(self, learnt: Learnt) -> None:
         """Go on, before the first event, where another process of this instance stood just now."""
         self._usual, self._recent, self._cells = learnt.usual, learnt.recent, learnt.cells
         self._arrivals, self._sends, self._served, *self._tenants = learnt.rates
-        self._worth, self._taken = learnt.worth, learnt.taken
-        self._retries, self._turn = learnt.retries, learnt.turn
+        self._worth, self._taken, self._retries, self._turn = learnt.known
         self._servers = {server.endpoint.address: server for server in learnt.servers}
-        for server in filter(lambda server: server.unheard, learnt.servers):
-            self._at(self._now, "probe", server)
 
     def _at(self, when: float, what: str, about: object = None) -> None:
         self._sequence += 1
@@ -315,9 +212,6 @@
                     self._at(self._now + 2 * self._set.tick_ms, what, about)
                 else:
                     self._settle(attempt, True)
-            elif isinstance(about, Server):
-                about.unheard = about in self._ring  # else it drains or has gone: back, it is tried
-                self._actions.extend([Probe(about.endpoint.address)] if about.unheard else [])
             elif what == "ask" and when == self._ask_at:
                 self._actions.append(Watch())
                 self._ask_in(ASK_AGAIN_MS[1])
@@ -341,9 +235,8 @@
 
     def _last_call(self, job: Job) -> float:
         """When it is too late to send: an answer would miss the aim."""
-        if job.uploading:
-            return math.inf
-        return job.aim_at - min(LAST_CALL_TIMES * self._recent[job.index], LAST_CALL_AIM * job.cls.aim_ms)
+        least = min(LAST_CALL_TIMES * self._recent[job.index], LAST_CALL_AIM * job.cls.aim_ms)
+        return math.inf if job.uploading else job.aim_at - least
 
     def _brake(self, server: Server) -> Brake:
         """The limit that binds: on thin traffic a server's own never learns, so its cell's does."""
@@ -351,14 +244,14 @@
 
     def _open(self, server: Server) -> bool:
         """Whether a turn may go to this server now."""
-        if self._now < server.benched_until or server.unheard:
+        if self._now < server.benched_until:
             return False
         due = self._owe_each * (server.size if self._thin else 1.0)
         if server.owes and (server.fails or len(server.owes) + 1 > due + CHANCE_OWED * math.sqrt(due)):
             return False  # one trial at a time; and what is owed beyond chance counts against the quota
         if not self._is_warm_enough(server):
             return False
-        return self._brake(server).has_quota(self._now, self._window, self._span)
+        return has_quota(self._brake(server), self._now, self._window, self._span)
 
     def _is_warm_enough(self, server: Server) -> bool:
         """Rule 4: a cold server gets the part of its even share that it surely can do, no more."""
@@ -498,7 +391,7 @@
             attempt.missed = missed
             if not missed:
                 self._served.add(self._now, RATE_MS)
-            self._brake(attempt.server).settle(self._now, self._window, self._span, attempt.sent_at, missed)
+            settle(self._brake(attempt.server), self._now, self._window, self._span, attempt.sent_at, missed)
 
     def _outcome(self, event: Outcome) -> None:
         attempt, job = self._attempts.pop((event.id, event.attempt), None), self._jobs.get(event.id)
@@ -540,9 +433,6 @@
             server.spared.clear()
             self._settle(attempt, event.result is not Result.RESET or self._thin)  # it tells nothing of speed
             server.fails += 1
-            if event.result is Result.CONNECT_FAILED and self._set.may_probe and not server.unheard:
-                server.unheard = True
-                self._at(server.benched_until, "probe", server)
             if server.fails == BENCH_DOUBLINGS:
                 self._actions.append(Log(f"left {server.endpoint.address.hex()} alone: {event.result.value}"))
         elif event.result is Result.OK:
@@ -556,18 +446,6 @@
                 off = event.elapsed_ms - self._usual[job.index]
                 self._usual[job.index] += (USUAL_UP if off > 0 else ANSWER_WEIGHT) * off
 
-    def _probed(self, event: ProbeResult) -> None:
-        """Somebody is there: its next turn is a trial. Nobody: it is asked again after twice the time."""
-        server = self._servers.get(event.address)
-        if server is None or not server.unheard:
-            return
-        if event.result in (Result.CONNECT_FAILED, Result.TIMEOUT, Result.RESET, Result.NOT_SENT):
-            server.fails += 1
-            rest = self._window * OVERDUE_TIMES * 2 ** min(server.fails, BENCH_DOUBLINGS)
-            self._at(self._now + rest * (0.75 + 0.5 * self._rng.random()), "probe", server)
-        else:
-            server.unheard = False
-
     def _list(self, event: ServerList) -> None:
         if not event.cached:
             self._ask_at, self._ask_wait = math.inf, max(self._spread, ASK_AGAIN_MS[0])
@@ -575,15 +453,21 @@
             named = {endpoint.address for endpoint in event.endpoints}
             self._servers = {key: server for key, server in self._servers.items() if key in named}
         for endpoint in event.endpoints:
-            meters = Meter(self._now), Meter(self._now), Meter(self._now)
-            self._cells.setdefault(endpoint.cell, Brake(self._now, *meters, CELL_SHARE))
+            if endpoint.cell not in self._cells:
+                self._cells[endpoint.cell] = self._new_brake(CELL_SHARE)
             known = self._servers.get(endpoint.address)
             if endpoint.state is State.GONE:
                 self._servers.pop(endpoint.address, None)
             elif known is None or known.endpoint.started_at != endpoint.started_at:
-                brake = Brake(self._now, Meter(self._now), Meter(self._now), Meter(self._now))
                 place, passed, credit = self._rng.random(), self._rng.random(), self._rng.random()
-                server = Server(endpoint, brake, place, passed, cold_credit=credit, cold_at=self._now)
+                server = Server(
+                    endpoint,
+                    self._new_brake(CHANCE_SHARE),
+                    place,
+                    passed,
+                    cold_credit=credit,
+                    cold_at=self._now,
+                )
                 self._servers[endpoint.address] = server
             else:
                 known.endpoint = endpoint
@@ -594,6 +478,9 @@
             server.size = size * len(sizes) / sum(sizes)
         self._largest = max((server.size for server in self._ring), default=1.0)
 
+    def _new_brake(self, share: float) -> Brake:
+        return Brake(self._now, Meter(self._now), Meter(self._now), Meter(self._now), share)
+
     def _part(self) -> list[Server]:
         """The ready servers that this instance keeps to: all, but where many instances meet many servers."""
         ready = [server for server in self._servers.values() if server.endpoint.state is State.READY]
--- a/larkcrank/program/handover.py
+++ b/larkcrank/program/handover.py
@@ -16,8 +16,8 @@
 
 import msgspec
 
-from larkcrank.core.balancer import Learnt
 from larkcrank.core.interface import Address
+from larkcrank.core.state import Learnt
 
 VERSION = 1
 MOST_BYTES = 8 << 20
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -198,7 +198,7 @@
             endpoints = tuple(server.endpoint for server in handed.learnt.servers)
             known = Listing(handed.generation or 0, True, endpoints, handed.places)
             self._discovery.go_on_from(handed.generation)
-            self.log.event("taken_over", known=len(endpoints), taken=handed.learnt.taken)
+            self.log.event("taken_over", known=len(endpoints), taken=handed.learnt.known[1])
         else:
             self._take_up(self._config.kept)
             known = self._discovery.start_from(self._known) if self._known else None
