--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -20,7 +20,7 @@
 from larkcrank.core.state import Attempt, Brake, Job, Learnt, Meter, Server
 
 BETA = 0.20  # share of the rate that an event takes off (CARD)
-REGAIN_WINDOWS = 20  # windows until a cut limit is back at M; fixes C ("tens of windows")
+REGAIN_WINDOWS = 10  # windows until a cut limit is back at M; fixes C ("within tens of windows")
 HYSTERESIS_WINDOWS = 2  # no event sooner than this after the limit last rose (CARD: 10 ms of 5 ms)
 SPAN_SENDS = 4  # sends to a mean server in one comparison span: "a few answers"
 SPAN_MAX_MS = 20000.0  # a span longer than this compares yesterday's weather
