--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,5 +1,6 @@
 """The program as it is started: the example, signals, counters and messages."""
 
+import contextlib
 import io
 import json
 import logging
@@ -136,3 +137,51 @@
     (line,) = out.getvalue().splitlines()
     found = json.loads(line)
     assert (found["event"], found["source"], found["text"]) == ("library", "tornado.general", "odd thing")
+
+
+def test_a_platform_that_holds_the_socket_replaces_the_process(tmp_path: Path) -> None:
+    """As docs/operations.md says it, with the toy server and the example that plays the platform."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        place = f"127.0.0.1:{free.getsockname()[1]}"
+    with started("examples/toy_server.py", str(tmp_path)) as toy:
+        assert toy.stdout is not None
+        config = toy.stdout.readline().strip()
+        environment = {"PROXY_CONFIG": config, "TMPDIR": str(tmp_path)}
+        platform = subprocess.Popen(
+            [sys.executable, "examples/hold_socket.py", place, "0", "0"],
+            cwd=ROOT,
+            env=os.environ | environment,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        numbers = []
+        try:
+            assert platform.stdin is not None and platform.stdout is not None
+            for awaited in ("ready", "taken_over"):
+                platform.stdin.write("\n")
+                platform.stdin.flush()
+                numbers.append(int(platform.stdout.readline().split()[1].rstrip(",")))
+                found = event(platform, awaited)
+            assert found["known"] == 3
+            ops = event(platform, "ready")["ops"]
+            with socket.create_connection((ops.split(":")[0], int(ops.split(":")[1])), timeout=20) as sock:
+                sock.sendall(b"PING\n")
+                assert sock.makefile().readline() == "200 ready\n"
+            os.kill(numbers[0], signal.SIGTERM)
+            assert event(platform, "ended")
+            assert call(place, b"GET /look/1 HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\n\r\n").status == 200
+            platform.stdin.close()
+            os.kill(numbers[1], signal.SIGTERM)
+            assert event(platform, "ended")
+            assert platform.wait(20) == 0
+        finally:
+            platform.kill()
+            for number in numbers:
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(number, signal.SIGKILL)
+            for stream in (platform.stdin, platform.stdout, platform.stderr):
+                assert stream is not None
+                stream.close()
+            platform.wait(20)
