--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -13,7 +13,7 @@
 from random import Random
 
 from larkcrank.core.interface import (
-    Action, Address, Cancel, ClientGone, DiscoveryFailed, Effect, Event, Fail, Group, Log, Outcome,
+    Action, Address, Cancel, ClientGone, DiscoveryFailed, Effect, Event, Fail, FetchList, Group, Log, Outcome,
     Refuse, Request, Result, Send, ServerList, Settings, SetTimer, State,
     StreamStarted, TimerFired, Uploaded, Watch,
 )  # fmt: skip
@@ -45,6 +45,7 @@
 HINT_AIM = 0.25  # of the aim: a refused client comes back while an answer is still worth something
 THIN_SENDS = 0.1  # sends a window to a mean server; under it its own limit never learns in time
 MEMORY_MS = 30000.0  # a late server is second choice this long on thin traffic: troubles last tens of seconds
+DOUBT_FAILS = 2  # failures in a row of most servers of the ring: the list held is doubted
 BENCH_DOUBLINGS = 4  # a failing server is left alone for 1, 2, 4 ... overdue times, doubled so often
 PART_SERVERS = 4  # an instance of many keeps to about so many servers ...
 PART_SHARERS = (4, 6)  # ... as long as so many instances share each server, the more where they are tens ...
@@ -122,6 +123,7 @@
         # All start or fail together: calls are spread, or most time out and come again as a herd.
         self._spread = min(ASK_EACH_MS * settings.instances, ASK_AGAIN_MS[1])
         self._ask_at, self._ask_wait, self._wake = math.inf, max(self._spread, ASK_AGAIN_MS[0]), -math.inf
+        self._fetch_at = -math.inf
         if settings.must_ask:
             self._ask_in(rng.random() * self._spread)
 
@@ -212,6 +214,8 @@
                     self._at(self._now + 2 * self._set.tick_ms, what, about)
                 else:
                     self._settle(attempt, True)
+            elif what == "fetch":
+                self._actions.append(FetchList())
             elif what == "ask" and when == self._ask_at:
                 self._actions.append(Watch())
                 self._ask_in(ASK_AGAIN_MS[1])
@@ -433,6 +437,10 @@
             server.spared.clear()
             self._settle(attempt, event.result is not Result.RESET or self._thin)  # it tells nothing of speed
             server.fails += 1
+            doubtful = sum(one.fails >= DOUBT_FAILS for one in self._ring)
+            if doubtful * 2 > len(self._ring) > 1 and now >= self._fetch_at:
+                self._fetch_at = now + ASK_AGAIN_MS[1]  # most are not what the list says: a watch may be dead
+                self._at(now + self._rng.random() * self._spread, "fetch")
             if server.fails == BENCH_DOUBLINGS:
                 self._actions.append(Log(f"left {server.endpoint.address.hex()} alone: {event.result.value}"))
         elif event.result is Result.OK:
--- a/larkcrank/routing/discovery.py
+++ b/larkcrank/routing/discovery.py
@@ -148,8 +148,14 @@
             listing = discovery.parse(response.body, self._names)
             if target == discovery.LIST_TARGET and not listing.whole:
                 listing = Listing(listing.generation, True, listing.endpoints, listing.places)
+            dead = wait_ms is None and listing.generation > (self._generation or 0)
             self._generation = listing.generation
             self._tally.lists += 1
+            if dead and self._watch is not None and not self._watch.done():
+                # A watch that lives would have told this: a machine that vanished is silent on old ones.
+                self._watch.cancel()
+                self._watch = None
+                self.watch()
             self.on_list(listing)
         except (
             ConnectionLostError,
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -22,6 +22,7 @@
     Endpoint,
     Event,
     Fail,
+    FetchList,
     Group,
     Log,
     Outcome,
@@ -1114,3 +1115,26 @@
         desk.take()
         desk.wait(4.0)
     assert desk.balancer._arrivals.rate(desk.now, RATE_MS) == pytest.approx(0.25, rel=0.1)
+
+
+def failing(desk: Desk, bad: set[bytes], duration: float) -> int:
+    """Calls for the whole list while these servers refuse connections and the others answer."""
+    asked, until = 0, desk.now + duration
+    while desk.now < until:
+        _, actions = desk.take()
+        actions += desk.wait(10.0)
+        for key, where in list(desk.out.items()):
+            actions += desk.end(key[0], Result.CONNECT_FAILED if where in bad else Result.OK, key[1])
+        asked += sum(isinstance(action, FetchList) for action in actions)
+    return asked
+
+
+def test_a_list_that_most_of_its_servers_contradict_is_asked_for_anew() -> None:
+    # Incident r730c8a: discovery vanished with the watches on it; six of seven servers were gone for as long
+    # as the watch waited, and half of the requests was refused.
+    desk = Desk(servers=5)
+    desk.warm()
+    assert (
+        failing(desk, {address(0), address(1)}, 20_000.0) == 0
+    )  # some are down: no reason to doubt the list
+    assert 1 <= failing(desk, {address(i) for i in range(3)}, 7_900.0) <= 2  # not with every failure
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -741,3 +741,28 @@
             assert counters.served > 0 and counters.overdue == counters.crashed == 0
 
     b.run(work())
+
+
+def test_a_fetch_that_tells_more_than_the_watch_shows_that_this_one_is_dead() -> None:
+    async def work() -> None:
+        one, two = b.Endpoint("s-1"), b.Endpoint("s-2")
+        await two.start()
+        async with b.bed(one) as bed:
+            discovery = bed.discovery
+            await b.until(lambda: discovery.targets[-1:] != [] and b"after=1&" in discovery.targets[-1])
+            asked = len(discovery.targets)
+            bed.sidecar._discovery.fetch()
+            await b.until(lambda: bed.sidecar.counters.lists == 1)
+            assert len(discovery.targets) == asked + 1  # nothing new: the watch stands
+            discovery.generation, discovery.endpoints = 7, [two]  # the watch is told nothing of it
+            bed.sidecar._discovery.fetch()
+            await b.until(lambda: b"after=7&" in discovery.targets[-1])
+            answer = await (await bed.client()).call("view")
+            assert answer.fields.one(b"x-from") == b"s-2"
+            discovery.generation, discovery.endpoints = 8, [one]
+            bed.sidecar._discovery.fetch()
+            await b.until(lambda: b"after=8&" in discovery.targets[-1])
+            assert bed.sidecar.counters.discovery_failures == bed.sidecar.counters.crashed == 0
+            await two.stop()
+
+    b.run(work())
