Requests of a key run one at a time where their class asks; only draining binds where set

Balancer._take queued every request for a server at once and never looked at its key.

Change: a line a key (Line, core/state.py) holds open requests as they came; the first has its turn once no attempt of an earlier one is without an outcome and the rest after a time-out, reset or cancel is over. Waiting for a turn takes nothing from the queue for quotas, and ends at the last call, or at once where those before it would take too long. A line with nothing left is deleted. Settings in-turn, key-quiet-ms, only-draining-binds, nines-* are read and checked; on sockets the subject is item in Req-Extra.

--- a/larkcrank/config/settings.py
+++ b/larkcrank/config/settings.py
@@ -33,6 +33,7 @@
     window_ms: float = 0.0
     late_value: float = 0.0
     streaming: bool = False
+    in_turn: bool = False
 
 
 class _Customer(_Wire):
@@ -58,6 +59,13 @@
     fall_multiple: float
     fall_ms: float
     grace_to_answer_ms: float = 20.0
+    key_quiet_ms: float = 0.0
+    only_draining_binds: bool = False
+
+
+class _Mix(_Wire):
+    nines_part: float = 0.0
+    nines_full: float = 3.0
 
 
 class _Report(_Wire):
@@ -77,6 +85,7 @@
     ordinal: int = 0
     n_instances: int = 1
     report: _Report = msgspec.field(default_factory=_Report)
+    objective_mix: _Mix = msgspec.field(default_factory=_Mix)
     zones: list[str] = []
     kinds: list[str] = []
 
@@ -138,6 +147,9 @@
         "bounds.send-cap": bounds.send_cap,
         "bounds.max-retry-after-ms": bounds.max_retry_after_ms,
         "contract.warm-after-ms": contract.warm_after_ms,
+        "contract.key-quiet-ms": contract.key_quiet_ms,
+        "objective-mix.nines-part": config.objective_mix.nines_part,
+        "objective-mix.nines-full": config.objective_mix.nines_full,
     }
     shares = {"contract.cold-from": contract.cold_from}
     for index, grade in enumerate(config.grades):
@@ -150,6 +162,13 @@
             raise SettingsError(f"settings: {value} is negative or no figure - at `$.{key}`")
         if key in shares and value > 1.0:
             raise SettingsError(f"settings: {value} is no share from 0 to 1 - at `$.{key}`")
+    for index, grade in enumerate(config.grades):
+        if (
+            grade.in_turn and grade.streaming
+        ):  # a stream ends when its reader likes: its key would wait for that
+            raise SettingsError(
+                f"settings: a streaming class takes no turns - at `$.grades[{index}].in-turn`"
+            )
 
 
 def _settings(config: _Config) -> Settings:
@@ -174,6 +193,10 @@
         warm_after_ms=contract.warm_after_ms,
         fall_multiple=contract.fall_multiple,
         fall_ms=contract.fall_ms,
+        key_quiet_ms=contract.key_quiet_ms,
+        only_draining_binds=contract.only_draining_binds,
+        nines_part=config.objective_mix.nines_part,
+        nines_full=config.objective_mix.nines_full,
     )
 
 
@@ -193,4 +216,5 @@
         worth=grade.points,
         late_worth=grade.late_value,
         streaming=grade.streaming,
+        in_turn=grade.in_turn,
     )
--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -17,7 +17,7 @@
     Refuse, Request, Result, Send, ServerList, Settings, SetTimer, State,
     StreamStarted, TimerFired, Uploaded, Watch,
 )  # fmt: skip
-from larkcrank.core.state import Attempt, Brake, Job, Learnt, Meter, Server
+from larkcrank.core.state import Attempt, Brake, Job, Learnt, Line, Meter, Server
 
 BETA = 0.20  # share of the rate that an event takes off (CARD)
 REGAIN_WINDOWS = 10  # windows until a cut limit is back at M; fixes C ("within tens of windows")
@@ -58,6 +58,8 @@
 TENANT_MS = 5000.0  # time constant of what a tenant has had
 ASK_EACH_MS = 150.0  # of spread for each instance's call: the service takes them in turn, a few a second
 ASK_AGAIN_MS = (500.0, 8000.0)  # least and longest wait for another call
+UNLISTED_LEAST = 16  # servers kept that no list names any more, or as many as it names
+LINGERS = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)  # after these an attempt may still be running
 
 
 def settle(brake: Brake, now: float, window: float, span: float, sent_at: float, missed: bool) -> None:
@@ -110,6 +112,9 @@
         self._jobs: dict[int, Job] = {}
         self._held: list[Job] = []
         self._attempts: dict[tuple[int, int], Attempt] = {}
+        self._lines: dict[int, Line] = {}  # by key, while it has requests, strays or a rest
+        self._strays: dict[tuple[int, int], int] = {}  # attempts that are out of requests that are over: key
+        self._ripe: list[int] = []  # keys whose first request may have its turn now
         self._due: list[tuple[float, int, str, object]] = []  # what the timer is for, soonest first
         self._sequence, self._armed, self._timer = 0, math.inf, 0
         self._usual = [cls.aim_ms * FIRST_USUAL_AIM for cls in settings.classes]
@@ -148,12 +153,18 @@
             case ClientGone():
                 self._close(event.id)
             case StreamStarted():  # answered; how long its client takes to read it is not the server's time
+                job = self._jobs.get(event.id)
                 self._outcome(
                     Outcome(event.id, event.attempt, event.address, Result.OK, event.elapsed_ms, True)
                 )
+                if job is not None and job.key:  # but its key waits for the end
+                    self._lines[job.key].strays += 1
+                    self._strays[event.id, event.attempt] = job.key
             case Uploaded() if (job := self._jobs.get(event.id)) is not None:
                 self._time(job, event.time_left_ms)
-                if job in self._held:
+                if job.waits:
+                    self._await_turn(job)
+                elif job in self._held:
                     self._held.remove(job)
                     self._hold(job)
                 for index, attempt in job.out.items():
@@ -162,7 +173,11 @@
             case TimerFired() if event.token == self._timer:
                 self._armed = math.inf
         self._run_due()
+        self._call_up()
         self._send_held()
+        while self._ripe:  # what was just given up has let others have their turn
+            self._call_up()
+            self._send_held()
         self._arm()
         return self._actions
 
@@ -207,13 +222,16 @@
         while self._due and self._due[0][0] <= self._now:
             when, _, what, about = heapq.heappop(self._due)
             if isinstance(about, Job) and self._jobs.get(about.id) is about:
-                if when >= about.ends_at and not (about.uploading and about.out):
+                ends_at = about.last_call if about.waits else about.ends_at
+                if when >= ends_at and not (about.uploading and about.out):
                     self._give_up(about)
             elif isinstance(about, tuple) and (attempt := self._attempts.get(about)) is not None:
                 if when < self._now - self._window:  # we were late ourselves: answers may be waiting too
                     self._at(self._now + 2 * self._set.tick_ms, what, about)
                 else:
                     self._settle(attempt, True)
+            elif what == "rest" and isinstance(about, int):
+                self._ripe.append(about)
             elif what == "fetch":
                 self._actions.append(FetchList())
             elif what == "ask" and when == self._ask_at:
@@ -304,7 +322,38 @@
         self._taken += 1
         self._worth += max(1 / self._taken, ANSWER_WEIGHT) * (cls.worth - self._worth)
         self._retries = min(self._retries + RETRY_SHARE, RETRY_SAVED)
-        self._hold(job)
+        if request.key and cls.in_turn:
+            self._line_up(job, request.key)
+        else:
+            self._hold(job)
+
+    def _line_up(self, job: Job, key: int) -> None:
+        """Rule 5: requests of a key run one at a time as they came; none waits for what can't be in time."""
+        line = self._lines.setdefault(key, Line())
+        line.jobs.append(job)
+        job.key, job.waits = key, True
+        self._ripe.append(key)
+        self._await_turn(job)
+        if (len(line.jobs) - 1) * self._usual[job.index] > job.last_call - self._now:
+            self._give_up(job)
+
+    def _await_turn(self, job: Job) -> None:
+        job.last_call = self._last_call(job)
+        if job.last_call < math.inf:
+            self._at(job.last_call, "turn", job)
+
+    def _call_up(self) -> None:
+        """Let the first of each ripe key have its turn; a key with nothing left to keep is forgotten."""
+        ripe, self._ripe = self._ripe, []
+        for key in ripe:
+            line = self._lines.get(key)
+            if line is None or line.strays or line.rests_until > self._now:
+                continue  # it ripens with the outcome, or with the end of its rest
+            if not line.jobs:
+                del self._lines[key]
+            elif line.jobs[0].waits:
+                line.jobs[0].waits = False
+                self._hold(line.jobs[0])
 
     def _time(self, job: Job, left: float, uploading: bool = False) -> None:
         """A request's time begins now, or, while its body still comes, once that has come."""
@@ -388,8 +437,20 @@
         if (job := self._jobs.pop(number, None)) is None:
             return
         self._held = [held for held in self._held if held is not job]
+        if job.key:
+            line = self._lines[job.key]
+            line.jobs.remove(job)
+            line.strays += len(job.out)
+            self._strays |= {(number, out): job.key for out in job.out}
+            self._rest(line, job.key, job.rests_until)
         self._actions.extend(Cancel(number, out) for out in job.out if self._set.may_cancel)
 
+    def _rest(self, line: Line, key: int, until: float) -> None:
+        line.rests_until = max(line.rests_until, until)
+        if line.rests_until > self._now:
+            self._at(line.rests_until, "rest", key)
+        self._ripe.append(key)
+
     def _settle(self, attempt: Attempt, missed: bool) -> None:
         if not attempt.missed:
             attempt.missed = missed
@@ -401,6 +462,12 @@
         attempt, job = self._attempts.pop((event.id, event.attempt), None), self._jobs.get(event.id)
         unowed = job.out.pop(event.attempt, None) if job is not None else None
         attempt = attempt or unowed  # its body was still on the way
+        rests_until = self._now + self._set.key_quiet_ms if event.result in LINGERS else -math.inf
+        if key := self._strays.pop((event.id, event.attempt), 0):
+            self._lines[key].strays -= 1
+            self._rest(self._lines[key], key, rests_until)
+        elif job is not None:
+            job.rests_until = max(job.rests_until, rests_until)
         if attempt is not None:
             self._learn(event, attempt, job)
         if job is None or attempt is None:
@@ -443,6 +510,8 @@
                 self._at(now + self._rng.random() * self._spread, "fetch")
             if server.fails == BENCH_DOUBLINGS:
                 self._actions.append(Log(f"left {server.endpoint.address.hex()} alone: {event.result.value}"))
+                if not server.listed:
+                    self._turns()  # neither the list nor its own answers speak for it
         elif event.result is Result.OK:
             self._settle(attempt, False)
             server.fails //= 2
@@ -459,13 +528,14 @@
             self._ask_at, self._ask_wait = math.inf, max(self._spread, ASK_AGAIN_MS[0])
         if event.complete:
             named = {endpoint.address for endpoint in event.endpoints}
-            self._servers = {key: server for key, server in self._servers.items() if key in named}
+            for address in [address for address in self._servers if address not in named]:
+                self._unlist(address)
         for endpoint in event.endpoints:
             if endpoint.cell not in self._cells:
                 self._cells[endpoint.cell] = self._new_brake(CELL_SHARE)
             known = self._servers.get(endpoint.address)
             if endpoint.state is State.GONE:
-                self._servers.pop(endpoint.address, None)
+                self._unlist(endpoint.address)
             elif known is None or known.endpoint.started_at != endpoint.started_at:
                 place, passed, credit = self._rng.random(), self._rng.random(), self._rng.random()
                 server = Server(
@@ -478,7 +548,23 @@
                 )
                 self._servers[endpoint.address] = server
             else:
-                known.endpoint = endpoint
+                known.endpoint, known.listed = endpoint, True
+        unlisted = [key for key, server in self._servers.items() if not server.listed]
+        for address in unlisted[: -max(len(self._servers) - len(unlisted), UNLISTED_LEAST)]:
+            del self._servers[address]  # the oldest: a fleet that is replaced leaves no end of them
+        self._turns()
+
+    def _unlist(self, address: Address) -> None:
+        """Forget a server, or where only draining binds keep one that did not drain: its own answers tell."""
+        server = self._servers.get(address)
+        if server is None:
+            return
+        server.listed = False
+        if server.endpoint.state is not State.READY or not self._set.only_draining_binds:
+            del self._servers[address]
+
+    def _turns(self) -> None:
+        """Who gets turns, in which order."""
         # An order of its own: who follows a skipped server gets its turns too, at each instance another.
         self._ring = sorted(self._part(), key=lambda server: server.place)
         sizes = [server.endpoint.size if self._set.listed_sizes else 1.0 for server in self._ring]
@@ -492,6 +578,7 @@
     def _part(self) -> list[Server]:
         """The ready servers that this instance keeps to: all, but where many instances meet many servers."""
         ready = [server for server in self._servers.values() if server.endpoint.state is State.READY]
+        ready = [server for server in ready if server.listed or server.fails < BENCH_DOUBLINGS] or ready
         count, total = max(self._set.instances, 1), len(ready)
         least = min(max(count // PART_SHARERS[1], PART_SHARERS[0]), PART_SHARERS[1])
         sharers = max(round(PART_SERVERS / max(total, 1) * count), least)
--- a/larkcrank/core/interface.py
+++ b/larkcrank/core/interface.py
@@ -64,6 +64,7 @@
     worth: float
     late_worth: float = 0.0  # share of the worth that a late answer still earns
     streaming: bool = False
+    in_turn: bool = False  # requests of one key run one at a time, in the order in which they came
 
 
 @dataclass(slots=True, frozen=True)
@@ -92,6 +93,10 @@
     warm_after_ms: float = 0.0
     fall_multiple: float = 1.0  # more than this multiple of its present capacity ...
     fall_ms: float = 1000.0  # ... for this long and a cold server falls over
+    key_quiet_ms: float = 0.0  # how long a key rests after a time-out, a reset or a cancel
+    only_draining_binds: bool = False  # one that is gone or left out may be sent to, unless it drained
+    nines_part: float = 0.0  # weight of the nines in what users judge by ...
+    nines_full: float = 3.0  # ... and so many earn it in full
 
 
 @dataclass(slots=True, frozen=True)
@@ -116,7 +121,7 @@
     cls: int
     time_left_ms: float
     tenant: int = 0
-    key: int = 0
+    key: int = 0  # its subject; 0: none
     cost_ms: float | None = None
     is_retry: bool = False
     is_write: bool = False
--- a/larkcrank/core/state.py
+++ b/larkcrank/core/state.py
@@ -4,6 +4,7 @@
 """
 
 import math
+from collections import deque
 from dataclasses import dataclass, field
 
 from larkcrank.core.interface import Endpoint, RequestClass
@@ -64,6 +65,7 @@
     wary_until: float = -math.inf  # turns only where no other server has quota
     cold_credit: float = 1.0  # sends left of what it surely can do while it is cold ...
     cold_at: float = 0.0  # ... counted up to here
+    listed: bool = True  # or kept though the list leaves it out or calls it gone
 
 
 @dataclass(slots=True, eq=False)
@@ -88,12 +90,24 @@
     last_call: float = 0.0  # held longer than this, its answer would miss the aim
     rank: tuple[bool, float, float] = (False, 0.0, 0.0)  # in the held queue
     uploading: bool = False  # its body still comes
+    key: int = 0  # of a class that takes turns by key; 0: free
+    waits: bool = False  # for its turn
+    rests_until: float = -math.inf  # those behind it wait so long for what it may have left running
     sends: int = 0
     out: dict[int, Attempt] = field(default_factory=dict)
     ran: Attempt | None = None  # the first attempt that may have run
     tried: list[Server] = field(default_factory=list)
 
 
+@dataclass(slots=True, eq=False)
+class Line:
+    """Requests of one key that run one at a time."""
+
+    jobs: deque[Job] = field(default_factory=deque)  # open ones, as they came; the first has its turn
+    strays: int = 0  # attempts without an outcome whose requests are over
+    rests_until: float = -math.inf
+
+
 @dataclass(slots=True)
 class Learnt:
     """What the next process of this instance needs to go on from here; owed attempts stay with this one."""
--- a/larkcrank/protocol/platform.py
+++ b/larkcrank/protocol/platform.py
@@ -17,9 +17,12 @@
 _RETRY = b"req-retry"
 _OWNER = b"req-owner"
 _KEY = b"idempotency-key"
+_EXTRA = b"req-extra"
+_ITEM = b"item"  # the simulator's name of the subject
 _DECLINED = b"srv-declined"
 _LOAD = b"srv-load"
 _MAX_WAIT_S = 3600.0
+_SUBJECT = re.compile(rb"[0-9]{1,20}")
 _SECONDS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{0,15})?|\.[0-9]{1,15}")
 _ABSOLUTE = re.compile(rb"[Hh][Tt][Tt][Pp]://([^/?#]+)((?:[/?].*)?)")
 _REPLACED = frozenset((_DEADLINE,))
@@ -69,6 +72,21 @@
     )
 
 
+def subject_of(request: http1.Request) -> int:
+    """The subject that `Req-Extra` names among a request's further figures; 0: none.
+
+    Raises `MessageError` where it is no whole number below 2**64: what can't be told apart loses its order.
+    """
+    for part in (request.fields.one(_EXTRA) or b"").split(b","):
+        name, _, value = part.partition(b"=")
+        if name.strip(b" \t") == _ITEM:
+            value = value.strip(b" \t")
+            if not _SUBJECT.fullmatch(value) or int(value) >= 1 << 64:
+                raise http1.MessageError(400, "item in Req-Extra is no whole number below 2**64")
+            return int(value)
+    return 0
+
+
 def _wait_ms(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -375,6 +375,7 @@
             tenant=self._tenants.get(call.owner, 0),
             upload=None if request.whole else Upload(request.body, self._budget),
             wait_ms=wait_ms,
+            key=platform.subject_of(request) if cls.in_turn else 0,
         )
 
     def _class_of(self, request: http1.Request, call: platform.Call) -> tuple[int, RequestClass]:
--- a/larkcrank/routing/driver.py
+++ b/larkcrank/routing/driver.py
@@ -123,6 +123,7 @@
                 cls=exchange.cls,
                 time_left_ms=left,
                 tenant=exchange.tenant,
+                key=exchange.key,
                 is_retry=exchange.call.is_retry,
                 uploading=uploading,
             )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -239,3 +239,26 @@
     parser.feed(platform.request_to_endpoint(came, 1000.0))
     sent = parser.next()
     assert sent is not None and sent.fields.one(b"host") == b""
+
+
+@pytest.mark.parametrize(
+    ("value", "subject"),
+    [
+        (None, 0),
+        (b"", 0),
+        (b"predicted-ms=3.5", 0),
+        (b"item=17", 17),
+        (b"predicted-ms=2, item=18446744073709551615", 2**64 - 1),
+    ],
+)
+def test_the_subject_stands_among_the_further_figures(value: bytes | None, subject: int) -> None:
+    lines = () if value is None else (b"Req-Extra: " + value,)
+    assert platform.subject_of(request(*lines)) == subject
+
+
+@pytest.mark.parametrize(
+    "value", [b"item=", b"item=x", b"item=-1", b"item=1.5", b"item=18446744073709551616"]
+)
+def test_a_subject_that_is_no_number_is_the_clients_fault(value: bytes) -> None:
+    with pytest.raises(http1.MessageError):
+        platform.subject_of(request(b"Req-Extra: " + value))
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+from typing import Any
 
 import pytest
 
@@ -766,3 +767,37 @@
             await two.stop()
 
     b.run(work())
+
+
+def test_requests_of_one_subject_run_one_at_a_time_where_their_class_asks_for_it() -> None:
+    async def work() -> None:
+        grades = [cls | {"in-turn": True} if cls["name"] == "book" else cls for cls in b.CLASSES]
+        alone: dict[str, Any] = {"n-instances": 1}
+        gates = [asyncio.Event(), asyncio.Event()]
+
+        async def wait(endpoint: b.Endpoint, request: http1.Request, writer: b.Writer) -> None:
+            await gates[len(one.requests) + len(two.requests) > 1].wait()
+            await b.say_ok(endpoint, request, writer)
+
+        one, two = b.Endpoint("s-1", wait), b.Endpoint("s-2", wait)
+        async with b.bed(one, two, grades=grades, **alone) as bed:
+            clients = [await bed.client() for _ in range(3)]
+            key, same, other = b"Idempotency-Key: k", b"Req-Extra: item=7", b"Req-Extra: item=8"
+            clients[0].send("book", 8.0, "", key, same)
+            await b.until(lambda: len(one.requests) + len(two.requests) == 1)
+            clients[1].send("book", 8.0, "", key, same)
+            await b.until(lambda: bed.sidecar.counters.taken == 2)
+            clients[2].send("book", 8.0, "", key, other)
+            await b.until(lambda: len(one.requests) + len(two.requests) == 2)
+            sent = [request.fields.one(b"req-extra") for request in one.requests + two.requests]
+            assert sorted(filter(None, sent)) == [b"item=7", b"item=8"]
+            gates[0].set()
+            assert (await clients[0].answer()).status == 200
+            await b.until(lambda: len(one.requests) + len(two.requests) == 3)
+            gates[1].set()
+            assert [(await client.answer()).status for client in clients[1:]] == [200, 200]
+            bad = await bed.client()
+            assert (await bad.call("book", 8.0, "", key, b"Req-Extra: item=x")).status == 400
+            assert bed.sidecar.counters.taken == 3
+
+    b.run(work())
--- a/tests/test_simwire.py
+++ b/tests/test_simwire.py
@@ -351,6 +351,42 @@
     assert parsed.tenants == (api.Tenant("a", 0.7),)
 
 
+def test_settings_of_order_drains_and_nines_are_read_and_left_out_change_nothing() -> None:
+    plain = settings.parse(json.dumps(f.CONFIG).encode()).decisions
+    assert not any(cls.in_turn for cls in plain.classes)
+    assert (plain.key_quiet_ms, plain.only_draining_binds, plain.nines_part) == (0.0, False, 0.0)
+    config = copy.deepcopy(f.CONFIG)
+    config["grades"][1]["in-turn"] = True
+    config["contract"] |= {"key-quiet-ms": 50.0, "only-draining-binds": True}
+    config["objective-mix"] = {"nines-part": 0.4, "nines-full": 2}
+    parsed = settings.parse(json.dumps(config).encode()).decisions
+    assert [cls.in_turn for cls in parsed.classes] == [False, True]
+    assert (parsed.key_quiet_ms, parsed.only_draining_binds) == (50.0, True)
+    assert (parsed.nines_part, parsed.nines_full) == (0.4, 2.0)
+
+
+@pytest.mark.parametrize(
+    ("part", "change", "named"),
+    [
+        ("contract", {"key-quiet-ms": -1.0}, "contract.key-quiet-ms"),
+        ("contract", {"only-draining-binds": "yes"}, "contract.only-draining-binds"),
+        ("objective-mix", {"nines-part": -0.1}, "objective-mix.nines-part"),
+        ("grades", {"in-turn": 1}, "grades[0].in-turn"),
+        ("grades", {"in-turn": True, "streaming": True}, "grades[0].in-turn"),
+    ],
+)
+def test_a_faulty_setting_of_order_drains_or_nines_is_named(
+    part: str, change: dict[str, Any], named: str
+) -> None:
+    config = copy.deepcopy(f.CONFIG)
+    config.setdefault(part, {})
+    place = config[part][0] if part == "grades" else config[part]
+    place.update(change)
+    with pytest.raises(settings.SettingsError) as error:
+        settings.parse(json.dumps(config).encode())
+    assert f"$.{named}`" in str(error.value)
+
+
 @pytest.mark.parametrize("key", ["effect", "group"])
 def test_an_unknown_effect_or_group_is_named(key: str) -> None:
 
