--- a/larkcrank/config/settings.py
+++ b/larkcrank/config/settings.py
@@ -68,6 +68,10 @@
     nines_full: float = 3.0
 
 
+class _Family(_Wire):
+    warm_keys: bool = False
+
+
 class _Report(_Wire):
     how: str = "silent"
     fields: list[str] = []
@@ -85,6 +89,7 @@
     ordinal: int = 0
     n_instances: int = 1
     report: _Report = msgspec.field(default_factory=_Report)
+    family_info: _Family = msgspec.field(default_factory=_Family)
     objective_mix: _Mix = msgspec.field(default_factory=_Mix)
     zones: list[str] = []
     kinds: list[str] = []
@@ -193,6 +198,7 @@
         warm_after_ms=contract.warm_after_ms,
         fall_multiple=contract.fall_multiple,
         fall_ms=contract.fall_ms,
+        warm_keys=config.family_info.warm_keys,
         key_quiet_ms=contract.key_quiet_ms,
         only_draining_binds=contract.only_draining_binds,
         nines_part=config.objective_mix.nines_part,
--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -48,6 +48,7 @@
 DOUBT_FAILS = 2  # failures in a row of most servers of the ring: the list held is doubted
 BENCH_DOUBLINGS = 4  # a failing server is left alone for 1, 2, 4 ... overdue times, doubled so often
 PART_SERVERS = 4  # an instance of many keeps to about so many servers ...
+PART_BLIND = 64  # ... or so many, where the list tells no sizes: four may all be small ones
 PART_SHARERS = (4, 6)  # ... as long as so many instances share each server, the more where they are tens ...
 PART_LEAST = 4  # ... and it has this many ready ones
 LOOK_MOST = 64  # servers looked at for one request in one event
@@ -58,6 +59,11 @@
 TENANT_MS = 5000.0  # time constant of what a tenant has had
 ASK_EACH_MS = 150.0  # of spread for each instance's call: the service takes them in turn, a few a second
 ASK_AGAIN_MS = (500.0, 8000.0)  # least and longest wait for another call
+STUCK_WEIGHT = 0.1  # of one send in the share of a class's sends that are missed
+STUCK_SHARE = 0.75  # a class that misses more than this everywhere waits for something behind the servers ...
+STUCK_OTHERS = 0.3  # ... as long as another misses less than this
+AHEAD_MOST = 4  # turns that a server may take before they come, for keys that it is home to
+HOMES = 2  # servers that a key is at home at, in order
 UNLISTED_LEAST = 16  # servers kept that no list names any more, or as many as it names
 LINGERS = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)  # after these an attempt may still be running
 
@@ -119,6 +125,8 @@
         self._sequence, self._armed, self._timer = 0, math.inf, 0
         self._usual = [cls.aim_ms * FIRST_USUAL_AIM for cls in settings.classes]
         self._recent = list(self._usual)
+        self._missing = [0.0] * len(settings.classes)  # share of each class's sends that was missed of late
+        self._stuck: set[int] = set()  # classes that wait at every server
         self._arrivals, self._sends, self._served = Meter(now), Meter(now), Meter(now)  # served: in time
         self._window = self._even = self._span = self._owe_each = self._owe_all = self._largest = 1.0
         self._sharers = 1.0  # instances that keep to a server of the ring, on average
@@ -269,7 +277,8 @@
         if self._now < server.benched_until:
             return False
         due = self._owe_each * (server.size if self._thin else 1.0)
-        if server.owes and (server.fails or len(server.owes) + 1 > due + CHANCE_OWED * math.sqrt(due)):
+        owes = sum(owed.index not in self._stuck for owed in server.owes)
+        if owes and (server.fails or owes + 1 > due + CHANCE_OWED * math.sqrt(due)):
             return False  # one trial at a time; and what is owed beyond chance counts against the quota
         if not self._is_warm_enough(server):
             return False
@@ -288,21 +297,39 @@
 
     def _pick(self, job: Job) -> Server | None:
         """The next server in turn with quota left that this request may go to."""
-        count, second = len(self._ring), -1
+        count, second, early = len(self._ring), -1, list[Server]()
+        for server in self._homes(job):
+            if server.ahead < AHEAD_MOST and self._is_good(job, server) and self._open(server):
+                server.ahead += 1
+                return server
         looked = min(count, LOOK_MOST)  # work for an event must not grow with the fleet
         for index in (step % count for step in range(self._turn, self._turn + looked)):
             server = self._ring[index]
             if self._open(server) and self._may_go(job, server):
+                if server.ahead:  # its turn was taken already
+                    early.append(server)
+                    second = index if second < 0 else second
+                    continue
                 # On thin traffic a server of half the size gets every second turn.
                 server.passed = server.passed % 1.0 + (server.size / self._largest if self._thin else 1.0)
-                wary = max(server.wary_until, server.spared.get(job.index, (0, -math.inf))[1])
-                if server.passed >= 1.0 and server not in job.tried and self._now >= wary:
+                if server.passed >= 1.0 and self._is_good(job, server):
                     self._turn = index + 1
+                    for passed in early:
+                        passed.ahead -= 1
                     return server
                 second = index if second < 0 else second
         self._turn = second + 1 if second >= 0 else self._turn + looked
         return self._ring[second] if second >= 0 else None
 
+    def _is_good(self, job: Job, server: Server) -> bool:
+        wary = max(server.wary_until, server.spared.get(job.index, (0, -math.inf))[1])
+        return server not in job.tried and self._now >= wary and self._may_go(job, server)
+
+    def _homes(self, job: Job) -> list[Server]:
+        if not job.subject:
+            return []
+        return heapq.nlargest(HOMES, self._ring, key=lambda server: hash((server.mark, job.subject)))
+
     def _may_go(self, job: Job, server: Server) -> bool:
         """Rule 2: what may have run is repeated only where the repeat is harmless."""
         if job.ran is None or job.cls.effect is Effect.SAFE:
@@ -317,6 +344,7 @@
     def _take(self, request: Request) -> None:
         cls, tenant = self._set.classes[request.cls], request.tenant if self._tenants else 0
         job = self._jobs[request.id] = Job(request.id, request.cls, cls, tenant, self._now, self._now)
+        job.subject = request.key if self._set.warm_keys else 0
         self._time(job, request.time_left_ms, request.uploading)
         self._arrivals.add(self._now, RATE_MS)
         self._taken += 1
@@ -364,6 +392,9 @@
 
     def _hold(self, job: Job) -> None:
         """Queue a request: tenants within their share, then what is worth most, then who can wait least."""
+        if job.index in self._stuck and self._is_full(job):
+            self._give_up(job)  # a few go on and tell when it is over
+            return
         job.last_call = self._last_call(job)
         had = [meter.faded(self._now, TENANT_MS) for meter in self._tenants]
         over = bool(had) and had[job.tenant] > self._set.tenants[job.tenant].portion * sum(had)
@@ -379,7 +410,7 @@
         left: list[Job] = []
         for job in waiting:
             # A thin instance has one request in hand: the cap, not a queue, must tell which are worth more.
-            full = len(self._attempts) >= max(self._owe_all * job.cls.worth / (self._worth or 1.0), 1.0)
+            full = self._is_full(job)
             server = None if spent or full else self._pick(job)
             if server is not None:
                 self._send(job, server)
@@ -395,6 +426,14 @@
             self._wake = self._now + max(self._window / 4, self._set.tick_ms)
             self._at(self._wake, "window")
 
+    def _is_full(self, job: Job) -> bool:
+        """Whether as much is owed by all servers together as may be."""
+        if job.index in self._stuck:
+            out = sum(attempt.index == job.index for attempt in self._attempts.values())
+            return out >= max(self._owe_all / len(self._usual) / OWED_TIMES, 1.0)
+        out = sum(attempt.index not in self._stuck for attempt in self._attempts.values())
+        return out >= max(self._owe_all * job.cls.worth / (self._worth or 1.0), 1.0)
+
     def _send(self, job: Job, server: Server) -> None:
         attempt = Attempt(server, self._now, job.index)
         if job.sends == 0 and self._tenants:
@@ -454,6 +493,11 @@
     def _settle(self, attempt: Attempt, missed: bool) -> None:
         if not attempt.missed:
             attempt.missed = missed
+            self._missing[attempt.index] += STUCK_WEIGHT * (missed - self._missing[attempt.index])
+            others = min(self._missing) < STUCK_OTHERS
+            self._stuck = {i for i, share in enumerate(self._missing) if share > STUCK_SHARE and others}
+            if attempt.index in self._stuck:
+                return  # nobody's fault
             if not missed:
                 self._served.add(self._now, RATE_MS)
             settle(self._brake(attempt.server), self._now, self._window, self._span, attempt.sent_at, missed)
@@ -484,11 +528,14 @@
 
     def _learn(self, event: Outcome, attempt: Attempt, job: Job | None) -> None:
         server, now = attempt.server, self._now
-        failed = event.result not in (Result.OK, Result.CANCELLED, Result.NOT_SENT)
+        stuck = attempt.index in self._stuck and event.result is not Result.CONNECT_FAILED
+        failed = event.result not in (Result.OK, Result.CANCELLED, Result.NOT_SENT) and not stuck
         server.owes = [one for one in server.owes if one is not attempt]
         other, server.answers = server.answers, -1 if attempt.missed or failed else attempt.index
         alone = attempt.index in server.spared or other not in (-1, attempt.index)
-        if alone and event.result in (Result.ERROR, Result.TIMEOUT):
+        if stuck:
+            self._settle(attempt, attempt.missed or event.result is not Result.OK)
+        elif alone and event.result in (Result.ERROR, Result.TIMEOUT):
             # It has just answered another class: this one alone may fail there, the others go on.
             count, _ = server.spared.get(attempt.index, (0, 0.0))
             memory = MEMORY_MS if self._thin else 1 / self._even
@@ -512,7 +559,7 @@
                 self._actions.append(Log(f"left {server.endpoint.address.hex()} alone: {event.result.value}"))
                 if not server.listed:
                     self._turns()  # neither the list nor its own answers speak for it
-        elif event.result is Result.OK:
+        elif event.result is Result.OK and not stuck:
             self._settle(attempt, False)
             server.fails //= 2
             server.spared.pop(attempt.index, None)
@@ -545,6 +592,7 @@
                     passed,
                     cold_credit=credit,
                     cold_at=self._now,
+                    mark=zlib.crc32(endpoint.address),
                 )
                 self._servers[endpoint.address] = server
             else:
@@ -581,7 +629,8 @@
         ready = [server for server in ready if server.listed or server.fails < BENCH_DOUBLINGS] or ready
         count, total = max(self._set.instances, 1), len(ready)
         least = min(max(count // PART_SHARERS[1], PART_SHARERS[0]), PART_SHARERS[1])
-        sharers = max(round(PART_SERVERS / max(total, 1) * count), least)
+        wanted = PART_SERVERS if self._set.listed_sizes else PART_BLIND
+        sharers = max(round(wanted / max(total, 1) * count), least)
         self._sharers = float(count)
         if sharers >= count or total <= PART_LEAST:
             return ready
--- a/larkcrank/core/interface.py
+++ b/larkcrank/core/interface.py
@@ -94,6 +94,7 @@
     fall_multiple: float = 1.0  # more than this multiple of its present capacity ...
     fall_ms: float = 1000.0  # ... for this long and a cold server falls over
     key_quiet_ms: float = 0.0  # how long a key rests after a time-out, a reset or a cancel
+    warm_keys: bool = False  # a server that met a key lately does less work for it
     only_draining_binds: bool = False  # one that is gone or left out may be sent to, unless it drained
     nines_part: float = 0.0  # weight of the nines in what users judge by ...
     nines_full: float = 3.0  # ... and so many earn it in full
--- a/larkcrank/core/state.py
+++ b/larkcrank/core/state.py
@@ -65,6 +65,8 @@
     wary_until: float = -math.inf  # turns only where no other server has quota
     cold_credit: float = 1.0  # sends left of what it surely can do while it is cold ...
     cold_at: float = 0.0  # ... counted up to here
+    ahead: int = 0  # turns taken before they came
+    mark: int = 0  # a checksum of its address
     listed: bool = True  # or kept though the list leaves it out or calls it gone
 
 
@@ -91,6 +93,7 @@
     rank: tuple[bool, float, float] = (False, 0.0, 0.0)  # in the held queue
     uploading: bool = False  # its body still comes
     key: int = 0  # of a class that takes turns by key; 0: free
+    subject: int = 0  # its key, where servers do less work for those that they met lately
     waits: bool = False  # for its turn
     rests_until: float = -math.inf  # those behind it wait so long for what it may have left running
     sends: int = 0
--- /dev/null
+++ b/tests/test_symptoms.py
@@ -0,0 +1,155 @@
+"""Defences by symptom: keys at home, classes that wait everywhere, parts where no sizes are told."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from larkcrank.core.balancer import AHEAD_MOST, PART_SERVERS, Balancer
+from larkcrank.core.interface import (
+    Action,
+    Effect,
+    Endpoint,
+    Group,
+    Outcome,
+    Refuse,
+    Request,
+    RequestClass,
+    Result,
+    Send,
+    ServerList,
+    SetTimer,
+    Settings,
+    TimerFired,
+)
+from tests.test_balancer import Desk, address, sends
+
+QUICK, HEAVY = range(2)
+CLASSES = (
+    RequestClass("quick", Effect.SAFE, Group.ALL, 600.0, 2000.0, 0.0, 5.0),
+    RequestClass("heavy", Effect.UNSAFE, Group.ALL, 1000.0, 2000.0, 0.0, 3.0),
+)
+
+
+def ask(desk: Desk, key: int, cls: int = 0) -> list[bytes]:
+    """Where one request goes, answered after 20 ms."""
+    desk.ids += 1
+    where = sends(desk.do(Request(desk.ids, cls, 2000.0, key=key)))
+    desk.wait(20.0)
+    if where:
+        desk.end(desk.ids)
+    return where
+
+
+def test_a_key_goes_to_the_same_server_at_every_instance_where_servers_remember_keys() -> None:
+    shares = []
+    for warm in (True, False):
+        found = Counter[bytes]()
+        for seed in range(6):
+            desk = Desk(servers=8, seed=seed, warm_keys=warm)
+            for number in range(80):
+                place = ask(desk, key=77 if number % 8 == 0 else 1000 + number)
+                found.update(place if number % 8 == 0 else [])
+        shares.append(sum(count for _, count in found.most_common(2)) / found.total())
+    assert shares[0] > 0.8 and shares[1] < 0.5
+
+
+def test_no_server_takes_more_than_a_few_turns_before_they_come() -> None:
+    # One popular key must not make its home the only server: turns stay even but for a few.
+    desk = Desk(servers=4, warm_keys=True)
+    for _ in range(100):
+        ask(desk, key=5)
+    took = [0] * 4
+    for _ in range(200):
+        for place in ask(desk, key=5):
+            took[place[3]] += 1
+    assert max(took) - min(took) <= 2 * AHEAD_MOST
+
+
+def test_a_home_that_failed_is_left_for_the_next_one_and_no_key_waits_for_it() -> None:
+    desk = Desk(servers=4, warm_keys=True)
+    [home] = ask(desk, key=9)
+    desk.ids += 1
+    desk.do(Request(desk.ids, 0, 2000.0, key=9))
+    desk.out[desk.ids, 0] = home
+    server = desk.balancer._servers[home]
+    server.wary_until = desk.now + 30000.0
+    assert all(ask(desk, key=9) != [home] for _ in range(3))
+
+
+@pytest.mark.parametrize("listed, met", [(True, PART_SERVERS), (False, 30)])
+def test_an_instance_meets_all_servers_where_no_sizes_are_told(listed: bool, met: int) -> None:
+    desk = Desk(servers=30, instances=100, listed_sizes=listed)
+    assert len(desk.balancer._ring) == met
+
+
+class Fleet:
+    """One instance before servers that answer by class."""
+
+    def __init__(self) -> None:
+        settings = Settings(CLASSES, max_attempts=3, may_cancel=True, tick_ms=5.0, retry_after=True)
+        self.now, self.ids = 0.0, 0
+        self.balancer = Balancer(settings, random.Random(3), 0.0)
+        self.out: list[tuple[float, int, bytes, float]] = []
+        self.sent = [0, 0]
+        self.refused = [0, 0]
+        self.kind: dict[int, int] = {}
+        self.timers: list[tuple[float, int]] = []
+        self.do(ServerList(tuple(Endpoint(address(i)) for i in range(6)), complete=True))
+
+    def do(self, event: Request | Outcome | ServerList | TimerFired) -> list[Action]:
+        actions = self.balancer.handle(self.now, event)
+        for action in actions:
+            if isinstance(action, Send):
+                cls = self.kind[action.id]
+                self.sent[cls] += 1
+                took = self.takes[cls]
+                self.out.append((self.now + took, action.id, action.address, took))
+            elif isinstance(action, Refuse):
+                self.refused[self.kind[action.id]] += 1
+            elif isinstance(action, SetTimer):
+                self.timers.append((self.now + action.wait_ms, action.token))
+        return actions
+
+    def play(self, seconds: float, takes: tuple[float, float]) -> None:
+        self.takes, self.sent, self.refused = takes, [0, 0], [0, 0]
+        until = self.now + 1000.0 * seconds
+        while self.now < until:
+            self.now += 5.0
+            for due in sorted(one for one in self.timers if one[0] <= self.now):
+                self.timers.remove(due)
+                self.do(TimerFired(due[1]))
+            for back in sorted(one for one in self.out if one[0] <= self.now):
+                self.out.remove(back)
+                result = Result.OK if back[3] < 2000.0 else Result.TIMEOUT
+                self.do(Outcome(back[1], 0, back[2], result, back[3], result is Result.OK))
+            if int(self.now / 5.0) % 8 == 0:
+                self.ids += 1
+                cls = self.ids % 2
+                self.kind[self.ids] = cls
+                self.do(Request(self.ids, cls, 2000.0))
+
+
+def test_a_class_that_waits_everywhere_is_nobodys_fault_and_takes_no_places() -> None:
+    # Counted as the servers' misses it cut all limits: 31 in 100 of the other classes' requests were refused.
+    fleet = Fleet()
+    fleet.play(10, (50.0, 50.0))
+    fleet.play(5, (50.0, 1500.0))  # until it is noticed
+    fleet.play(20, (50.0, 1500.0))
+    assert fleet.balancer._stuck == {HEAVY}
+    assert fleet.refused[QUICK] == 0 and fleet.sent[QUICK] > 240
+    assert (
+        0 < fleet.sent[HEAVY] < 60 and fleet.refused[HEAVY] > 150
+    )  # a few go on, the others are told at once
+    assert not any(server.wary_until > fleet.now for server in fleet.balancer._ring)
+    fleet.play(10, (50.0, 50.0))
+    fleet.play(10, (50.0, 50.0))
+    assert fleet.balancer._stuck == set() and fleet.refused == [0, 0]
+
+
+def test_where_all_classes_wait_it_is_the_servers_and_limits_are_cut() -> None:
+    fleet = Fleet()
+    fleet.play(10, (50.0, 50.0))
+    fleet.play(20, (1500.0, 1500.0))
+    assert fleet.balancer._stuck == set()
+    assert sum(fleet.refused) > 100
