--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -62,6 +62,10 @@
 STUCK_WEIGHT = 0.1  # of one send in the share of a class's sends that are missed
 STUCK_SHARE = 0.75  # a class that misses more than this everywhere waits for something behind the servers ...
 STUCK_OTHERS = 0.3  # ... as long as another misses less than this
+KIND_WEIGHT = 0.02  # of one answer in what a machine type takes, against the usual
+SIZES_MS = 1000.0  # sizes told by answers are counted anew so often
+SIZE_POWER = 2.0  # of its answer time against others', that a machine type's size falls with ...
+SIZE_MOST = 2.0  # ... to so many times the mean or its inverse: a crowd is no size
 AHEAD_MOST = 4  # turns that a server may take before they come, for keys that it is home to
 HOMES = 2  # servers that a key is at home at, in order
 UNLISTED_LEAST = 16  # servers kept that no list names any more, or as many as it names
@@ -133,6 +137,9 @@
         self._tenants = [Meter(now) for _ in settings.tenants]
         self._worth, self._taken = 0.0, 0  # mean worth of a request, and how many there were
         self._retries, self._thin = RETRY_SAVED, True
+        self._weigh = True
+        self._takes: dict[int, float] = {}  # answer times of each machine type, in usual ones
+        self._sized_at = now
         # All start or fail together: calls are spread, or most time out and come again as a herd.
         self._spread = min(ASK_EACH_MS * settings.instances, ASK_AGAIN_MS[1])
         self._ask_at, self._ask_wait, self._wake = math.inf, max(self._spread, ASK_AGAIN_MS[0]), -math.inf
@@ -260,6 +267,9 @@
         self._owe_each = max(all_due / ready, (math.sqrt(OWED_LEAST + shared + 1.0) - 1.0) ** 2)
         # Too thin for a server's own limit: its cell's limit, one late answer and listed sizes stand in.
         self._thin = self._even * self._window < THIN_SENDS
+        self._weigh = self._thin or not self._set.listed_sizes
+        if not self._set.listed_sizes and self._now >= self._sized_at + SIZES_MS:
+            self._size()
         many = ready / max(len(self._cells), 1) if self._thin else 1.0  # servers behind one limit
         self._span = min(max(SPAN_SENDS / (self._even * many), 2 * self._window), SPAN_MAX_MS)
 
@@ -290,7 +300,7 @@
         if cold <= 0 or not server.endpoint.started_at:
             return True
         sure = 1 - (1 - self._set.cold_from) * min(cold / self._set.warm_after_ms, 1.0)
-        rate = COLD_CAUTION * sure * self._even * (server.size if self._thin else 1.0)
+        rate = COLD_CAUTION * sure * self._even * (server.size if self._weigh else 1.0)
         server.cold_credit = min(server.cold_credit + rate * (self._now - server.cold_at), 1.0)
         server.cold_at = self._now
         return server.cold_credit >= 1.0
@@ -311,7 +321,7 @@
                     second = index if second < 0 else second
                     continue
                 # On thin traffic a server of half the size gets every second turn.
-                server.passed = server.passed % 1.0 + (server.size / self._largest if self._thin else 1.0)
+                server.passed = server.passed % 1.0 + (server.size / self._largest if self._weigh else 1.0)
                 if server.passed >= 1.0 and self._is_good(job, server):
                     self._turn = index + 1
                     for passed in early:
@@ -326,9 +336,15 @@
         return server not in job.tried and self._now >= wary and self._may_go(job, server)
 
     def _homes(self, job: Job) -> list[Server]:
+        """Where its key is at home: the same servers at every instance, larger ones for more keys."""
         if not job.subject:
             return []
-        return heapq.nlargest(HOMES, self._ring, key=lambda server: hash((server.mark, job.subject)))
+
+        def rank(server: Server) -> float:  # weighted rendezvous hashing (Schindelhauer and Schomaker, 2005)
+            draw = math.log((hash((server.mark, job.subject)) % 65521 + 1) / 65522)
+            return draw / (server.size if self._weigh else 1.0)
+
+        return heapq.nlargest(HOMES, self._ring, key=rank)
 
     def _may_go(self, job: Job, server: Server) -> bool:
         """Rule 2: what may have run is repeated only where the repeat is harmless."""
@@ -566,6 +582,9 @@
             # What is overdue and was overtaken is lost on its connection: the server owes it to nobody.
             server.owes = [one for one in server.owes if not one.missed or one.sent_at > attempt.sent_at]
             if job is not None:
+                kind, took = server.endpoint.kind, event.elapsed_ms / self._recent[job.index]
+                known = self._takes.setdefault(kind, 1.0)
+                self._takes[kind] = known + KIND_WEIGHT * (took - known)
                 self._recent[job.index] += ANSWER_WEIGHT * (event.elapsed_ms - self._recent[job.index])
                 off = event.elapsed_ms - self._usual[job.index]
                 self._usual[job.index] += (USUAL_UP if off > 0 else ANSWER_WEIGHT) * off
@@ -615,7 +634,18 @@
         """Who gets turns, in which order."""
         # An order of its own: who follows a skipped server gets its turns too, at each instance another.
         self._ring = sorted(self._part(), key=lambda server: server.place)
-        sizes = [server.endpoint.size if self._set.listed_sizes else 1.0 for server in self._ring]
+        self._size()
+
+    def _size(self) -> None:
+        """Sizes against the mean: as listed, or by what answers of each machine type take."""
+        self._sized_at = self._now
+        if self._set.listed_sizes:
+            sizes = [server.endpoint.size for server in self._ring]
+        else:
+            sizes = [
+                min(max(self._takes.get(server.endpoint.kind, 1.0) ** -SIZE_POWER, 1 / SIZE_MOST), SIZE_MOST)
+                for server in self._ring
+            ]
         for server, size in zip(self._ring, sizes, strict=True):
             server.size = size * len(sizes) / sum(sizes)
         self._largest = max((server.size for server in self._ring), default=1.0)
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -153,3 +153,19 @@
     fleet.play(20, (1500.0, 1500.0))
     assert fleet.balancer._stuck == set()
     assert sum(fleet.refused) > 100
+
+
+def test_sizes_are_told_by_answers_of_a_machine_type_where_the_list_tells_none() -> None:
+    # Even turns ask of the slow machines a third more than they can do, and two thirds of the fast ones.
+    desk = Desk(servers=0, listed_sizes=False, warm_keys=True)
+    desk.do(ServerList(tuple(Endpoint(address(i), kind=i % 2) for i in range(8)), complete=True))
+    took, went = {0: 20.0, 1: 60.0}, [0, 0]
+    for number in range(800):
+        desk.ids += 1
+        [place] = sends(desk.do(Request(desk.ids, 0, 2000.0, key=number % 97)))
+        desk.wait(took[place[3] % 2])
+        desk.end(desk.ids, elapsed=took[place[3] % 2])
+        went[place[3] % 2] += number >= 400
+    assert went[0] > 1.8 * went[1] > 60
+    sizes = [server.size for server in desk.balancer._ring]
+    assert max(sizes) <= 4.0 * min(sizes) + 1e-9  # a crowd is no size
