Turns taken early are paid back each round; a part grows by servers that fail again

Cause, turns: a test of sizes came out at 200 and 200. A probe showed every server at the most that may be taken early, for good: Balancer._pick paid back only where it then met a good server in turn, and with all ahead it never did, so keys had homes for the first seconds only. Change: a whole round of turns that were taken early is paid back; a turn counts as come only when the server's size lets it. Change: servers that failed twice in a row do not count towards the part, as cold ones do not. Covers also cells that die; could do harm where a server fails by overload, which the owed places and second choices bound.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -316,12 +316,12 @@
         for index in (step % count for step in range(self._turn, self._turn + looked)):
             server = self._ring[index]
             if self._open(server) and self._may_go(job, server):
-                if server.ahead:  # its turn was taken already
+                # On thin traffic a server of half the size gets every second turn.
+                server.passed = server.passed % 1.0 + (server.size / self._largest if self._weigh else 1.0)
+                if server.ahead and server.passed >= 1.0:  # its turn was taken already
                     early.append(server)
                     second = index if second < 0 else second
                     continue
-                # On thin traffic a server of half the size gets every second turn.
-                server.passed = server.passed % 1.0 + (server.size / self._largest if self._weigh else 1.0)
                 if server.passed >= 1.0 and self._is_good(job, server):
                     self._turn = index + 1
                     for passed in early:
@@ -329,7 +329,11 @@
                     return server
                 second = index if second < 0 else second
         self._turn = second + 1 if second >= 0 else self._turn + looked
-        return self._ring[second] if second >= 0 else None
+        if second < 0:
+            return None
+        for passed in early:  # a whole round of turns that were taken already
+            passed.ahead -= 1
+        return self._ring[second]
 
     def _is_good(self, job: Job, server: Server) -> bool:
         wary = max(server.wary_until, server.spared.get(job.index, (0, -math.inf))[1])
@@ -567,6 +571,8 @@
             server.spared.clear()
             self._settle(attempt, event.result is not Result.RESET or self._thin)  # it tells nothing of speed
             server.fails += 1
+            if server.fails == DOUBT_FAILS:
+                self._turns()
             doubtful = sum(one.fails >= DOUBT_FAILS for one in self._ring)
             if doubtful * 2 > len(self._ring) > 1 and now >= self._fetch_at:
                 self._fetch_at = now + ASK_AGAIN_MS[1]  # most are not what the list says: a watch may be dead
@@ -673,6 +679,7 @@
         while warm < size and len(part) < total:  # cold ones come on top: a run of them could take nothing
             part.append(ready[(first + len(part)) % total])
             started = part[-1].endpoint.started_at
-            warm += not started or self._now - started >= self._set.warm_after_ms
+            ready_to_go = not started or self._now - started >= self._set.warm_after_ms
+            warm += ready_to_go and part[-1].fails < DOUBT_FAILS
         self._sharers = max(count * len(part) / total, 1.0)
         return part
