--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -33,7 +33,8 @@
 OWED_LATE = 5.0  # the same where a late answer still earns something
 OWED_TIMES = 3.0  # times the usual number of attempts out, at all servers together ...
 OWED_SHARED = 2.0  # ... and so many more a server, shared by all instances: thin ones add up
-CHANCE_OWED = 2.0  # standard deviations of chance in the number of attempts out
+CHANCE_ALL = 1.5  # standard deviations of chance in the number out, at all servers together ...
+CHANCE_OWED = 2.0  # ... and at one
 OWED_LEAST = 1.5  # places a server and its shared ones: a single one is lost with one lost answer
 OVERDUE_TIMES = 4.0  # an answer is overdue after this many usual answer times ...
 OVERDUE_AIM = 0.5  # ... or this share of its aim: later leaves no time to mend it
@@ -169,9 +170,8 @@
                 self._close(event.id)
             case StreamStarted():  # answered; how long its client takes to read it is not the server's time
                 job = self._jobs.get(event.id)
-                self._outcome(
-                    Outcome(event.id, event.attempt, event.address, Result.OK, event.elapsed_ms, True)
-                )
+                number, took = event.id, event.elapsed_ms
+                self._outcome(Outcome(number, event.attempt, event.address, Result.OK, took, True))
                 if job is not None and job.key:  # but its key waits for the end
                     self._lines[job.key].strays += 1
                     self._strays[event.id, event.attempt] = job.key
@@ -262,8 +262,11 @@
         takes = [min(t, OVERDUE_TIMES * usual) for t, usual in zip(self._recent, self._usual, strict=True)]
         all_due = self._served.rate(self._now, RATE_MS) * max(sum(takes) / len(takes), self._window)
         shared = OWED_SHARED / self._sharers
-        times = OWED_LATE if any(cls.late_worth for cls in self._set.classes) else OWED_TIMES
-        self._owe_all = max(times * all_due + shared * ready, 1.0)
+        if any(cls.late_worth for cls in self._set.classes):
+            most = OWED_LATE * all_due
+        else:  # so much that chance alone may bring it, at the thin ones together too
+            most = min(OWED_TIMES * all_due, all_due + CHANCE_ALL * math.sqrt(all_due))
+        self._owe_all = max(most + shared * ready, 1.0)
         self._owe_each = max(all_due / ready, (math.sqrt(OWED_LEAST + shared + 1.0) - 1.0) ** 2)
         # Too thin for a server's own limit: its cell's limit, one late answer and listed sizes stand in.
         self._thin = self._even * self._window < THIN_SENDS
@@ -344,11 +347,7 @@
         if not job.subject:
             return []
 
-        def rank(server: Server) -> float:  # weighted rendezvous hashing (Schindelhauer and Schomaker, 2005)
-            draw = math.log((hash((server.mark, job.subject)) % 65521 + 1) / 65522)
-            return draw / (server.size if self._weigh else 1.0)
-
-        return heapq.nlargest(HOMES, self._ring, key=rank)
+        return heapq.nlargest(HOMES, self._ring, key=lambda server: server.draw(job.subject, self._weigh))
 
     def _may_go(self, job: Job, server: Server) -> bool:
         """Rule 2: what may have run is repeated only where the repeat is harmless."""
@@ -610,15 +609,9 @@
                 self._unlist(endpoint.address)
             elif known is None or known.endpoint.started_at != endpoint.started_at:
                 place, passed, credit = self._rng.random(), self._rng.random(), self._rng.random()
-                server = Server(
-                    endpoint,
-                    self._new_brake(CHANCE_SHARE),
-                    place,
-                    passed,
-                    cold_credit=credit,
-                    cold_at=self._now,
-                    mark=zlib.crc32(endpoint.address),
-                )
+                server = Server(endpoint, self._new_brake(CHANCE_SHARE), place, passed)
+                server.cold_credit, server.cold_at = credit, self._now
+                server.mark = zlib.crc32(endpoint.address)
                 self._servers[endpoint.address] = server
             else:
                 known.endpoint, known.listed = endpoint, True
@@ -645,13 +638,10 @@
     def _size(self) -> None:
         """Sizes against the mean: as listed, or by what answers of each machine type take."""
         self._sized_at = self._now
-        if self._set.listed_sizes:
-            sizes = [server.endpoint.size for server in self._ring]
-        else:
-            sizes = [
-                min(max(self._takes.get(server.endpoint.kind, 1.0) ** -SIZE_POWER, 1 / SIZE_MOST), SIZE_MOST)
-                for server in self._ring
-            ]
+        sizes = [server.endpoint.size for server in self._ring]
+        if not self._set.listed_sizes:
+            told = [self._takes.get(server.endpoint.kind, 1.0) ** -SIZE_POWER for server in self._ring]
+            sizes = [min(max(size, 1 / SIZE_MOST), SIZE_MOST) for size in told]
         for server, size in zip(self._ring, sizes, strict=True):
             server.size = size * len(sizes) / sum(sizes)
         self._largest = max((server.size for server in self._ring), default=1.0)
--- a/larkcrank/core/state.py
+++ b/larkcrank/core/state.py
@@ -69,6 +69,11 @@
     mark: int = 0  # a checksum of its address
     listed: bool = True  # or kept though the list leaves it out or calls it gone
 
+    def draw(self, subject: int, by_size: bool) -> float:
+        """Weighted rendezvous hashing (Schindelhauer and Schomaker, 2005): the largest are a key's homes."""
+        share = (hash((self.mark, subject)) % 65521 + 1) / 65522
+        return math.log(share) / (self.size if by_size else 1.0)
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
