--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -164,6 +164,8 @@
                 platform.stdin.flush()
                 numbers.append(int(platform.stdout.readline().split()[1].rstrip(",")))
                 found = event(platform, awaited)
+                # Ready comes before the first list; a request waits for it, so the successor finds one.
+                assert call(place, b"GET /look/0 HTTP/1.1\r\nHost: a\r\nReq-Id: 0\r\n\r\n").status == 200
             assert found["known"] == 3
             ops = event(platform, "ready")["ops"]
             with socket.create_connection((ops.split(":")[0], int(ops.split(":")[1])), timeout=20) as sock:
