On sockets too servers that are gone may be sent to, and keys reach their homes

Cause, found on reading the change again: with only-draining-binds the balancer sends to a server that is gone or left out, and the transport held every such attempt back before its first byte (Servers._attempt, 'address not in self._ready'): four requests of four ended 503. With warm-keys the subject was read for in-turn classes alone (Clients._exchange), so homes never acted on sockets. Change: the transport retires by the same rule as the balancer; the subject is read where turns or homes go by it. The splitting of name=value lists, written twice in platform.py, is one function. Result: two loopback tests, both fail with the text before ([503] * 4; requests spread 0, 0, 1, 1, 1, 1 in place of 4 at one).

--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -61,6 +61,7 @@
             self._clock,
             self.counters,
             log.failure,
+            site.decisions.only_draining_binds,
         )
         self._names = Names(list(site.zones), list(site.kinds))
         self._discovery = Discovery(
--- a/larkcrank/protocol/platform.py
+++ b/larkcrank/protocol/platform.py
@@ -18,11 +18,11 @@
 _OWNER = b"req-owner"
 _KEY = b"idempotency-key"
 _EXTRA = b"req-extra"
-_ITEM = b"item"  # the simulator's name of the subject
+_ITEM = "item"  # the simulator's name of the subject
 _DECLINED = b"srv-declined"
 _LOAD = b"srv-load"
 _MAX_WAIT_S = 3600.0
-_SUBJECT = re.compile(rb"[0-9]{1,20}")
+_SUBJECT = re.compile(r"[0-9]{1,20}", re.ASCII)
 _SECONDS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{0,15})?|\.[0-9]{1,15}")
 _ABSOLUTE = re.compile(rb"[Hh][Tt][Tt][Pp]://([^/?#]+)((?:[/?].*)?)")
 _REPLACED = frozenset((_DEADLINE,))
@@ -77,14 +77,18 @@
 
     Raises `MessageError` where it is no whole number below 2**64: what can't be told apart loses its order.
     """
-    for part in (request.fields.one(_EXTRA) or b"").split(b","):
-        name, _, value = part.partition(b"=")
-        if name.strip(b" \t") == _ITEM:
-            value = value.strip(b" \t")
-            if not _SUBJECT.fullmatch(value) or int(value) >= 1 << 64:
-                raise http1.MessageError(400, "item in Req-Extra is no whole number below 2**64")
-            return int(value)
-    return 0
+    value = _pairs(request.fields.one(_EXTRA) or b"").get(_ITEM)
+    if value is None:
+        return 0
+    if not _SUBJECT.fullmatch(value) or int(value) >= 1 << 64:
+        raise http1.MessageError(400, "item in Req-Extra is no whole number below 2**64")
+    return int(value)
+
+
+def _pairs(text: bytes) -> dict[str, str]:
+    """The parts of `name=value,name=value`; of a name that stands twice, the last."""
+    parts = (part.partition("=") for part in text.decode("latin-1").split(","))
+    return {name.strip(): value.strip() for name, _, value in parts}
 
 
 def _wait_ms(value: bytes | None) -> float | None:
@@ -123,14 +127,13 @@
 def load_report(text: bytes, names: tuple[str, ...]) -> tuple[float, ...]:
     """The values of a report `name=value,...` in the settings' order; empty where one is missing."""
     found: dict[str, float] = {}
-    for part in text.decode("latin-1").split(","):
-        name, _, value = part.partition("=")
+    for name, value in _pairs(text).items():
         try:
             figure = float(value)
         except ValueError:
             continue
         if math.isfinite(figure):
-            found[name.strip()] = figure
+            found[name] = figure
     return tuple(found[name] for name in names) if names and all(name in found for name in names) else ()
 
 
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -62,6 +62,7 @@
         tally: Tally,
         failed: Callable[[str, BaseException], None],
     ) -> None:
+        self._warm_keys = settings.warm_keys
         self._desk = desk
         self._life = life
         self._came_at = came_at
@@ -375,7 +376,7 @@
             tenant=self._tenants.get(call.owner, 0),
             upload=None if request.whole else Upload(request.body, self._budget),
             wait_ms=wait_ms,
-            key=platform.subject_of(request) if cls.in_turn else 0,
+            key=platform.subject_of(request) if cls.in_turn or self._warm_keys else 0,
         )
 
     def _class_of(self, request: http1.Request, call: platform.Call) -> tuple[int, RequestClass]:
--- a/larkcrank/routing/exchange.py
+++ b/larkcrank/routing/exchange.py
@@ -135,7 +135,7 @@
     tenant: int = 0
     upload: Upload | None = None  # its body, where that passes through
     wait_ms: float = 0.0  # how long the client waits, from the last byte on
-    key: int = 0  # its subject, where its class takes turns by it
+    key: int = 0  # its subject, where turns or homes go by it; 0: none
     attempts: int = 0
     written: int = 0  # attempts whose last byte was handed over
     closed: bool = False  # it has its final answer, or the client has gone
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -89,8 +89,10 @@
         now: Callable[[], float],
         tally: Tally,
         failed: Callable[[str, BaseException], None],
+        only_draining_binds: bool = False,
     ) -> None:
         self._pool = pool
+        self._only_draining_binds = only_draining_binds
         self._descriptors = descriptors
         self._connect_timeout_ms = connect_timeout_ms
         self._load_fields = load_fields
@@ -119,12 +121,14 @@
 
     def learn(self, listing: Listing) -> None:
         """Follow the list: where servers are, and which still take work."""
-        if listing.whole:
+        if listing.whole and not self._only_draining_binds:
             named = {endpoint.address for endpoint in listing.endpoints}
             for address in self._ready - named:
                 self._retire(address)
         for endpoint in listing.endpoints:
             address, place = endpoint.address, listing.places.get(endpoint.address)
+            if endpoint.state is State.GONE and self._only_draining_binds:
+                continue  # it may still be sent to, unless it drained: that has retired it already
             if endpoint.state is not State.READY:
                 self._retire(address)
                 continue
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -801,3 +801,46 @@
             assert bed.sidecar.counters.taken == 3
 
     b.run(work())
+
+
+def test_where_only_draining_binds_who_is_gone_or_left_out_is_still_sent_to_and_who_drained_is_not() -> None:
+    # The transport once held such an attempt back before its first byte: every request there was lost.
+    async def work() -> None:
+        one, two = b.Endpoint("s-1"), b.Endpoint("s-2")
+        contract = CONFIG["contract"] | {"only-draining-binds": True}
+        async with b.bed(one, two, contract=contract) as bed:
+            await b.until(lambda: any(b"after=1&" in target for target in bed.discovery.targets))
+            one.lifecycle = two.lifecycle = "Gone"
+            bed.discovery.tell(one, two)
+            await b.until(lambda: bed.sidecar.counters.lists == 1)
+            client = await bed.client()
+            assert [(await client.call("view")).status for _ in range(4)] == [200] * 4
+            one.lifecycle = "Terminating"
+            bed.discovery.tell(one)
+            await b.until(lambda: bed.sidecar.counters.lists == 2)
+            one.lifecycle, before = "Gone", len(one.requests)
+            bed.discovery.tell(one)
+            await b.until(lambda: bed.sidecar.counters.lists == 3)
+            assert [(await client.call("view")).status for _ in range(4)] == [200] * 4
+            assert len(one.requests) == before and len(two.requests) > 4
+            bed.discovery.endpoints = []  # a list that empties
+            bed.discovery.generation += 1
+            bed.sidecar._discovery.fetch()
+            await b.until(lambda: bed.sidecar.counters.lists == 4)
+            assert (await client.call("view")).status == 200
+
+    b.run(work())
+
+
+def test_the_subject_reaches_the_decisions_where_servers_remember_keys() -> None:
+    async def work() -> None:
+        settings: dict[str, Any] = {"n-instances": 1, "family-info": {"warm-keys": True}}
+        servers = [b.Endpoint(f"s-{number}") for number in range(6)]
+        async with b.bed(*servers, **settings) as bed:
+            client = await bed.client()
+            for _ in range(4):
+                assert (await client.call("view", 8.0, "", b"Req-Extra: item=7")).status == 200
+            assert sorted(len(server.requests) for server in servers) == [0] * 5 + [4]
+            assert (await client.call("view", 8.0, "", b"Req-Extra: item=x")).status == 400
+
+    b.run(work())
