Work for stuck classes and sizes is done only where there are any; no division by nought

Found on reading the change again, all in the module that every sidecar runs: what is out was counted one by one for every held request at every event, to leave out classes that almost never stand apart; answer times by machine type were learnt where sizes are listed and nothing reads them; answers of a class with no aim divided by nought there (ZeroDivisionError in _learn); the ring was drawn anew at two places on a failure; addresses were checksummed at each drawing though a server carries its checksum; the cap of a stuck class was a third of a cap that is no longer three times the usual.

--- a/larkcrank/config/settings.py
+++ b/larkcrank/config/settings.py
@@ -168,12 +168,10 @@
         if key in shares and value > 1.0:
             raise SettingsError(f"settings: {value} is no share from 0 to 1 - at `$.{key}`")
     for index, grade in enumerate(config.grades):
-        if (
-            grade.in_turn and grade.streaming
-        ):  # a stream ends when its reader likes: its key would wait for that
-            raise SettingsError(
-                f"settings: a streaming class takes no turns - at `$.grades[{index}].in-turn`"
-            )
+        if grade.in_turn and grade.streaming:
+            # A stream ends when its reader likes: its key would wait for that.
+            at = f"$.grades[{index}].in-turn"
+            raise SettingsError(f"settings: a streaming class takes no turns - at `{at}`")
 
 
 def _settings(config: _Config) -> Settings:
--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -133,12 +133,13 @@
         self._missing = [0.0] * len(settings.classes)  # share of each class's sends that was missed of late
         self._stuck: set[int] = set()  # classes that wait at every server
         self._arrivals, self._sends, self._served = Meter(now), Meter(now), Meter(now)  # served: in time
-        self._window = self._even = self._span = self._owe_each = self._owe_all = self._largest = 1.0
+        self._window = self._even = self._span = self._owe_each = self._owe_all = self._largest = (
+            self._all_due
+        ) = 1.0
         self._sharers = 1.0  # instances that keep to a server of the ring, on average
         self._tenants = [Meter(now) for _ in settings.tenants]
         self._worth, self._taken = 0.0, 0  # mean worth of a request, and how many there were
-        self._retries, self._thin = RETRY_SAVED, True
-        self._weigh = True
+        self._retries, self._thin, self._weigh = RETRY_SAVED, True, True  # weigh: turns and homes go by size
         self._takes: dict[int, float] = {}  # answer times of each machine type, in usual ones
         self._sized_at = now
         # All start or fail together: calls are spread, or most time out and come again as a herd.
@@ -260,7 +261,9 @@
         self._even = max(self._arrivals.rate(self._now, RATE_MS) / ready, 1e-9)
         # By answers in time, not requests: a burst is no capacity. By slow ones too: else a jam holds itself.
         takes = [min(t, OVERDUE_TIMES * usual) for t, usual in zip(self._recent, self._usual, strict=True)]
-        all_due = self._served.rate(self._now, RATE_MS) * max(sum(takes) / len(takes), self._window)
+        self._all_due = all_due = self._served.rate(self._now, RATE_MS) * max(
+            sum(takes) / len(takes), self._window
+        )
         shared = OWED_SHARED / self._sharers
         late = any(cls.late_worth for cls in self._set.classes)
         most = (OWED_LATE if late else OWED_TIMES) * all_due
@@ -290,7 +293,7 @@
         if self._now < server.benched_until:
             return False
         due = self._owe_each * (server.size if self._thin else 1.0)
-        owes = sum(owed.index not in self._stuck for owed in server.owes)
+        owes = sum(one.index not in self._stuck for one in server.owes) if self._stuck else len(server.owes)
         if owes and (server.fails or owes + 1 > due + CHANCE_OWED * math.sqrt(due)):
             return False  # one trial at a time; and what is owed beyond chance counts against the quota
         if not self._is_warm_enough(server):
@@ -332,11 +335,9 @@
                     return server
                 second = index if second < 0 else second
         self._turn = second + 1 if second >= 0 else self._turn + looked
-        if second < 0:
-            return None
         for passed in early:  # a whole round of turns that were taken already
             passed.ahead -= 1
-        return self._ring[second]
+        return self._ring[second] if second >= 0 else None
 
     def _is_good(self, job: Job, server: Server) -> bool:
         wary = max(server.wary_until, server.spared.get(job.index, (0, -math.inf))[1])
@@ -346,7 +347,6 @@
         """Where its key is at home: the same servers at every instance, larger ones for more keys."""
         if not job.subject:
             return []
-
         return heapq.nlargest(HOMES, self._ring, key=lambda server: server.draw(job.subject, self._weigh))
 
     def _may_go(self, job: Job, server: Server) -> bool:
@@ -447,11 +447,11 @@
 
     def _is_full(self, job: Job) -> bool:
         """Whether as much is owed by all servers together as may be."""
+        out = [attempt.index for attempt in self._attempts.values()] if self._stuck else []
         if job.index in self._stuck:
-            out = sum(attempt.index == job.index for attempt in self._attempts.values())
-            return out >= max(self._owe_all / len(self._usual) / OWED_TIMES, 1.0)
-        out = sum(attempt.index not in self._stuck for attempt in self._attempts.values())
-        return out >= max(self._owe_all * job.cls.worth / (self._worth or 1.0), 1.0)
+            return out.count(job.index) >= max(self._all_due / len(self._usual), 1.0)
+        owed = len(self._attempts) - sum(index in self._stuck for index in out)
+        return owed >= max(self._owe_all * job.cls.worth / (self._worth or 1.0), 1.0)
 
     def _send(self, job: Job, server: Server) -> None:
         attempt = Attempt(server, self._now, job.index)
@@ -553,7 +553,7 @@
         other, server.answers = server.answers, -1 if attempt.missed or failed else attempt.index
         alone = attempt.index in server.spared or other not in (-1, attempt.index)
         if stuck:
-            self._settle(attempt, attempt.missed or event.result is not Result.OK)
+            self._settle(attempt, event.result is not Result.OK)
         elif alone and event.result in (Result.ERROR, Result.TIMEOUT):
             # It has just answered another class: this one alone may fail there, the others go on.
             count, _ = server.spared.get(attempt.index, (0, 0.0))
@@ -570,7 +570,7 @@
             server.spared.clear()
             self._settle(attempt, event.result is not Result.RESET or self._thin)  # it tells nothing of speed
             server.fails += 1
-            if server.fails == DOUBT_FAILS:
+            if server.fails in (DOUBT_FAILS, BENCH_DOUBLINGS):  # the part grows; or it is unlisted, and out
                 self._turns()
             doubtful = sum(one.fails >= DOUBT_FAILS for one in self._ring)
             if doubtful * 2 > len(self._ring) > 1 and now >= self._fetch_at:
@@ -578,8 +578,6 @@
                 self._at(now + self._rng.random() * self._spread, "fetch")
             if server.fails == BENCH_DOUBLINGS:
                 self._actions.append(Log(f"left {server.endpoint.address.hex()} alone: {event.result.value}"))
-                if not server.listed:
-                    self._turns()  # neither the list nor its own answers speak for it
         elif event.result is Result.OK and not stuck:
             self._settle(attempt, False)
             server.fails //= 2
@@ -587,9 +585,10 @@
             # What is overdue and was overtaken is lost on its connection: the server owes it to nobody.
             server.owes = [one for one in server.owes if not one.missed or one.sent_at > attempt.sent_at]
             if job is not None:
-                kind, took = server.endpoint.kind, event.elapsed_ms / self._recent[job.index]
-                known = self._takes.setdefault(kind, 1.0)
-                self._takes[kind] = known + KIND_WEIGHT * (took - known)
+                if not self._set.listed_sizes:
+                    took = event.elapsed_ms / max(self._recent[job.index], self._set.tick_ms)
+                    known = self._takes.setdefault(server.endpoint.kind, 1.0)
+                    self._takes[server.endpoint.kind] = known + KIND_WEIGHT * (took - known)
                 self._recent[job.index] += ANSWER_WEIGHT * (event.elapsed_ms - self._recent[job.index])
                 off = event.elapsed_ms - self._usual[job.index]
                 self._usual[job.index] += (USUAL_UP if off > 0 else ANSWER_WEIGHT) * off
@@ -640,8 +639,8 @@
         self._sized_at = self._now
         sizes = [server.endpoint.size for server in self._ring]
         if not self._set.listed_sizes:
-            told = [self._takes.get(server.endpoint.kind, 1.0) ** -SIZE_POWER for server in self._ring]
-            sizes = [min(max(size, 1 / SIZE_MOST), SIZE_MOST) for size in told]
+            takes = [max(self._takes.get(server.endpoint.kind, 1.0), 1 / SIZE_MOST) for server in self._ring]
+            sizes = [min(max(took**-SIZE_POWER, 1 / SIZE_MOST), SIZE_MOST) for took in takes]
         for server, size in zip(self._ring, sizes, strict=True):
             server.size = size * len(sizes) / sum(sizes)
         self._largest = max((server.size for server in self._ring), default=1.0)
@@ -663,13 +662,12 @@
         # Runs of neighbours on a circle: as many parts hold each server, a changed list moves ends of runs.
         in_cell = any(cls.effect is Effect.KEYED and cls.group is Group.CELL for cls in self._set.classes)
         cells = {s.endpoint.cell: zlib.crc32(b"%d" % s.endpoint.cell) if in_cell else 0 for s in ready}
-        ready.sort(key=lambda server: (cells[server.endpoint.cell], zlib.crc32(server.endpoint.address)))
+        ready.sort(key=lambda server: (cells[server.endpoint.cell], server.mark))
         size = max(round(sharers * total / count), PART_LEAST)
         first, part, warm = self._set.ordinal * total // count, list[Server](), 0
-        while warm < size and len(part) < total:  # cold ones come on top: a run of them could take nothing
+        while warm < size and len(part) < total:  # cold ones and failing ones come on top: they take nothing
             part.append(ready[(first + len(part)) % total])
-            started = part[-1].endpoint.started_at
-            ready_to_go = not started or self._now - started >= self._set.warm_after_ms
-            warm += ready_to_go and part[-1].fails < DOUBT_FAILS
+            started, fails = part[-1].endpoint.started_at, part[-1].fails
+            warm += fails < DOUBT_FAILS and (not started or self._now - started >= self._set.warm_after_ms)
         self._sharers = max(count * len(part) / total, 1.0)
         return part
