Fleet bench: real processes, links that carry faults, stand-ins, a ledger and its rules

Need: the operators ask how many processes behave together when some fail; nothing here could start, part and count them. Change: package lab (scenario in TOML, links, endpoints, discovery, clients, ledger, rules, report) and a command line on click, as an optional extra; a bare 'python -m larkcrank' serves as before and imports none of it.

--- a/larkcrank/__main__.py
+++ b/larkcrank/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m larkcrank`: one sidecar, configured by PROXY_CONFIG. See README.md."""
+"""`python -m larkcrank`: one sidecar, configured by PROXY_CONFIG; with words, the command line."""
 
 import asyncio
 import os
@@ -16,7 +16,7 @@
     await Sidecar(config, log, lambda: load(os.environ, again=True), passed).run()
 
 
-def main() -> int:
+def serve() -> int:
     # A file that is replaced while we start is read again as soon as that can be done.
     signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
     try:
@@ -34,5 +34,13 @@
     return 0
 
 
+def main() -> int:
+    if len(sys.argv) > 1:  # the command line's libraries are no burden on a sidecar's start
+        from larkcrank.command.main import main as command
+
+        command(prog_name="larkcrank")
+    return serve()
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/larkcrank/command/main.py
@@ -0,0 +1,141 @@
+"""`larkcrank`: serve, check a configuration, play the fleet bench. Needs the extra `lab`, but for `serve`."""
+
+import os
+import sys
+from pathlib import Path
+from typing import NoReturn
+
+import click
+import msgspec
+import structlog
+
+from larkcrank.config import sidecar
+
+BAD_INPUT = 2
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """Client-side load balancer, and the bench for fleets of it."""
+
+
+@main.command()
+def serve() -> None:
+    """Run one sidecar, configured by PROXY_CONFIG."""
+    from larkcrank.__main__ import serve as run
+
+    sys.exit(run())
+
+
+@main.group()
+def config() -> None:
+    """Configuration files."""
+
+
+@config.command("check")
+@click.argument("file", type=click.Path(path_type=Path))
+def config_check(file: Path) -> None:
+    """Say whether a sidecar would start with FILE; name the key that is wrong."""
+    try:
+        found = sidecar.parse(file.read_bytes(), os.environ)
+    except OSError as error:
+        _refuse(f"{file}: {error.strerror}")
+    except sidecar.ConfigError as error:
+        _refuse(f"{file}: {error}")
+    classes = len(found.site.decisions.classes)
+    click.echo(
+        f"{file}: good; {found.name}, {classes} classes, discovery {':'.join(map(str, found.discovery))}"
+    )
+
+
+@main.group()
+def fleet() -> None:
+    """Many processes of the program, and faults between them."""
+
+
+@fleet.command("run")
+@click.argument("scenario", type=click.Path(path_type=Path))
+@click.option("--seed", type=int, help="In place of the scenario's own.")
+@click.option("--repeat", type=click.IntRange(1, 1000), default=1, help="Runs, each with the next seed.")
+@click.option("--out", type=click.Path(path_type=Path), help="Folder for ledgers, results, tables, charts.")
+def fleet_run(scenario: Path, seed: int | None, repeat: int, out: Path | None) -> None:
+    """Play SCENARIO. Exit code 1: a rule broken or an expectation missed; 2: bad input; 3: cut short."""
+    from larkcrank.lab import bench, report
+    from larkcrank.lab import scenario as scenarios
+    from larkcrank.lab.processes import ProcessError
+
+    log = _log()
+    try:
+        first = scenarios.load(scenario, seed)
+    except scenarios.ScenarioError as error:
+        _refuse(str(error))
+    results = []
+    for number in range(repeat):
+        one = msgspec.structs.replace(first, seed=first.seed + number)
+        folder = None if out is None else out / f"{one.name}-{one.seed}"
+        try:
+            if folder is not None:
+                folder.mkdir(parents=True, exist_ok=True)
+                (folder / report.RESULT).unlink(missing_ok=True)
+            log.info("playing", scenario=one.name, seed=one.seed, processes=one.fleet.processes)
+            played = bench.play(one, lambda text: log.info("progress", text=text))
+            if folder is not None:
+                played.ledger.write(folder / "ledger.jsonl")
+        except (ProcessError, bench.BenchError) as error:
+            log.error("run_ended", reason=str(error))
+            sys.exit(3)
+        except BaseExceptionGroup as group:
+            log.error("run_ended", reason="; ".join(str(error) for error in group.exceptions))
+            sys.exit(3)
+        except OSError as error:
+            log.error("run_ended", reason=str(error))
+            sys.exit(3)
+        result = report.summary(one, played)
+        if folder is not None:
+            report.write(result, folder)
+        for breach in result.breaches[: report.SHOWN_BREACHES]:
+            log.error("breach", rule=breach.rule, at=round(breach.at, 3), who=breach.who, text=breach.text)
+        log.info("played", seed=one.seed, passed=result.passed, served=round(result.served, 3))
+        results.append(result)
+    click.echo(report.markdown(results), nl=False)
+    if out is not None:
+        report.write_tables(results, out)
+    sys.exit(0 if all(result.passed for result in results) else 1)
+
+
+@fleet.command("report")
+@click.argument("folders", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path), help="Folder for the tables and the chart.")
+def fleet_report(folders: tuple[Path, ...], out: Path | None) -> None:
+    """Tables and a chart of runs of one scenario from the FOLDERS that they left."""
+    from larkcrank.lab import report
+
+    try:
+        results = [report.read(folder / report.RESULT) for folder in folders]
+    except ValueError as error:
+        _refuse(str(error))
+    if len({result.scenario for result in results}) > 1:
+        _refuse("the runs are of different scenarios")
+    click.echo(report.markdown(results), nl=False)
+    if out is not None:
+        out.mkdir(parents=True, exist_ok=True)
+        report.write_tables(results, out)
+
+
+def _log() -> structlog.typing.FilteringBoundLogger:
+    """One JSON object a line on standard error, as the sidecar has it."""
+    structlog.configure(
+        processors=[
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.add_log_level,
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+    )
+    log: structlog.typing.FilteringBoundLogger = structlog.get_logger()
+    return log
+
+
+def _refuse(text: str) -> NoReturn:
+    click.echo(text, err=True)
+    sys.exit(BAD_INPUT)
--- /dev/null
+++ b/larkcrank/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The lab: starts, disturbs, loads and counts many processes of the program, and is no part of it."""
