Fleet bench: processes restart with the list that they held; scenarios of two troubles

Cause: a process that had its list from its configuration counted as told nothing, so after the power loss it knew nobody (0.003 served until discovery was back); and the commit before held a scenario module that could not be imported.

--- a/larkcrank/lab/registry.py
+++ b/larkcrank/lab/registry.py
@@ -100,6 +100,11 @@
             told.append(shown | {"hostPort": f"127.0.0.1:{port}"})
         return told
 
+    def whole(self, sidecar: int) -> dict[str, Any]:
+        """The list as it is now, for a sidecar that starts with it."""
+        self._shown_to[sidecar] = self.shown()
+        return self.known(sidecar)
+
     def known(self, sidecar: int) -> dict[str, Any]:
         """The list that a sidecar was told last, as a file would have kept it."""
         until = self._shown_to.get(sidecar, 0)
--- a/larkcrank/lab/scenario.py
+++ b/larkcrank/lab/scenario.py
@@ -119,7 +119,7 @@
     endpoints: Endpoints
     load: Load
     seed: int = 1
-    discovery: DiscoveryPart = DiscoveryPart()
+    discovery: DiscoveryPart = msgspec.field(default_factory=DiscoveryPart)
     faults: list[FaultLine] = []
     settles: list[Settle] = []
     windows: list[Window] = []
