--- a/larkcrank/lab/bench.py
+++ b/larkcrank/lab/bench.py
@@ -478,13 +478,12 @@
     async def _counters(self) -> dict[str, Any]:
         """The numbers of all that live, added up."""
         total: dict[str, Any] = {}
-        for child in self._children:
-            if child.pid is None:
-                continue
-            try:
-                told = await child.ask_counters()
-            except TimeoutError:
-                continue
+        living = [child.ask_counters() for child in self._children if child.pid is not None]
+        for told in await asyncio.gather(*living, return_exceptions=True):
+            if isinstance(told, TimeoutError):
+                continue  # it stands still, or is very busy
+            if isinstance(told, BaseException):
+                raise told
             for key, value in told.items():
                 if isinstance(value, int):
                     total[key] = total.get(key, 0) + value
--- a/larkcrank/lab/links.py
+++ b/larkcrank/lab/links.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from random import Random
@@ -21,6 +22,7 @@
 LOST_AGAIN_S = 0.2  # Linux's least retransmission time
 LOSSES_MOST = 6
 SEGMENT = 1460
+_RESET = struct.pack("ii", 1, 0)
 
 
 class Way:
@@ -207,6 +209,8 @@
             handler.lost()
         if self._transport is not None:
             if reset:
+                sock = self._transport.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)  # else an abort ends in order
                 self._transport.abort()
             else:
                 self._transport.close()
