--- a/larkcrank/command/main.py
+++ b/larkcrank/command/main.py
@@ -122,6 +122,17 @@
         report.write_tables(results, out)
 
 
+@fleet.command("cost")
+@click.option("--count", type=click.IntRange(10, 1_000_000), default=20_000, help="Round trips.")
+def fleet_cost(count: int) -> None:
+    """What a link itself costs on this machine: round trips of 200 bytes without one and through one."""
+    from larkcrank.lab import cost
+
+    click.echo("| way | p50, us | p99, us | CPU, us |\n| --- | --- | --- | --- |")
+    for name, one in zip(("direct", "through a link"), cost.measure(count), strict=True):
+        click.echo(f"| {name} | {one.p50_us:.0f} | {one.p99_us:.0f} | {one.cpu_us:.0f} |")
+
+
 def _log() -> structlog.typing.FilteringBoundLogger:
     """One JSON object a line on standard error, as the sidecar has it."""
     structlog.configure(
--- a/larkcrank/lab/bench.py
+++ b/larkcrank/lab/bench.py
@@ -4,6 +4,7 @@
 import math
 import resource
 import signal
+import socket
 import tempfile
 import time
 from collections.abc import Callable, Iterable
@@ -21,7 +22,7 @@
 from larkcrank.lab.clients import Clients
 from larkcrank.lab.endpoints import Endpoint, Keys
 from larkcrank.lab.ledger import Ledger
-from larkcrank.lab.links import Link, Way
+from larkcrank.lab.links import DatagramRelay, Link, Way, datagram_relays
 from larkcrank.lab.processes import Child, ProcessError
 from larkcrank.lab.registry import Registry
 from larkcrank.lab.scenario import LINK_WORDS, FaultLine, Scenario, Settle, members
@@ -90,6 +91,7 @@
         self._lag_s = 0.0
         self._settled: list[Settled] = []
         self._failures: list[str] = []
+        self._relays: list[DatagramRelay] = []
         self._undoing: list[asyncio.Task[Any]] = []
         began = time.time()
         self._registry = Registry(scenario.discovery.work_ms, self._port, self._ledger, began)
@@ -106,6 +108,12 @@
         _raise_descriptors()
         loop.set_exception_handler(self._failed)
         self._build()
+        if scenario.fleet.datagrams:
+            self._relays = await datagram_relays(
+                scenario.fleet.processes, lambda i, j: self._way(("sidecars", i), ("sidecars", j))
+            )
+            for relay in self._relays:
+                relay.member = _free_datagram_port()
         began = loop.time()
         self._progress(f"starting {scenario.fleet.processes} processes")
         gate = asyncio.Semaphore(STARTS_AT_ONCE)
@@ -134,6 +142,7 @@
             own.memory_info().rss / (1 << 20),
         )
         counters = await self._counters()
+        self._ledger.datagrams = sum(relay.passed for relay in self._relays)
         if self._failures:
             raise BenchError("; ".join(self._failures[:3]))
         breaches = self._check()
@@ -233,7 +242,13 @@
         }
         if known is not None:
             config["known"] = known
-        return merged(config, {key: value for key, value in fleet.config.items() if key != "settings"})
+        names = {"i": str(index)}
+        if self._relays:
+            names["own"] = "{}:{}".format(*(self._relays[index].member or ()))
+            names["public"] = "{}:{}".format(*self._relays[index].place)
+            names["all"] = ",".join("{}:{}".format(*relay.place) for relay in self._relays)
+        more = {key: value for key, value in fleet.config.items() if key != "settings"}
+        return merged(config, _filled(more, names))
 
     async def _start(self, child: Child, known: dict[str, Any] | None) -> None:
         await child.start(self._config(child, known))
@@ -287,12 +302,21 @@
         waiting = set(members(settle.who, self._scenario)["sidecars"])
         while waiting and self._ledger.now() - settle.at < settle.within:
             ordered = sorted(waiting)
-            answers = await asyncio.gather(*(self._children[index].call(settle.call) for index in ordered))
-            waiting -= {i for i, said in zip(ordered, answers, strict=True) if said.startswith(settle.answer)}
+            saying = await asyncio.gather(*(self._says(self._children[i], settle) for i in ordered))
+            waiting -= {index for index, says in zip(ordered, saying, strict=True) if says}
             if waiting:
                 await asyncio.sleep(POLL_S)
         took = math.inf if waiting else self._ledger.now() - settle.at
-        self._settled.append(Settled(settle.at, settle.call, took))
+        self._settled.append(Settled(settle.at, settle.counter or settle.call, took))
+
+    async def _says(self, child: Child, settle: Settle) -> bool:
+        if not settle.counter:
+            return (await child.call(settle.call)).startswith(settle.answer)
+        try:
+            found = (await child.ask_counters()).get(settle.counter)
+        except TimeoutError:
+            return False
+        return isinstance(found, int) and found >= settle.least
 
     # Faults
 
@@ -497,6 +521,28 @@
         await asyncio.gather(*(child.close() for child in self._children), return_exceptions=True)
         for link in self._links.values():
             link.close()
+        for relay in self._relays:
+            if relay.transport is not None:
+                relay.transport.close()
+
+
+def _free_datagram_port() -> tuple[str, int]:
+    """A port that was free just now: what is to bind it is told it at once."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        host, port = sock.getsockname()
+        return host, port
+
+
+def _filled(value: Any, names: dict[str, str]) -> Any:
+    """The same with the names in its texts replaced."""
+    if isinstance(value, str):
+        for name, text in names.items():
+            value = value.replace("{" + name + "}", text)
+        return value
+    if isinstance(value, dict):
+        return {key: _filled(one, names) for key, one in value.items()}
+    return [_filled(one, names) for one in value] if isinstance(value, list) else value
 
 
 def _add(way: Way, fault: FaultLine) -> None:
--- a/larkcrank/lab/scenario.py
+++ b/larkcrank/lab/scenario.py
@@ -40,7 +40,10 @@
     processes: int
     command: list[str] = []  # what is started as each process; left out: this program
     zones: list[str] = msgspec.field(default_factory=lambda: ["here"])  # members take them in turn
-    config: dict[str, Any] = {}  # merged into each process's configuration
+    datagrams: bool = False  # whether each member has an address for datagrams; see `config`
+    # Merged into each process's configuration. In its texts {i} is the member's number, {own} where it binds
+    # its socket for datagrams, {public} where others reach it, {all} the public addresses, with commas.
+    config: dict[str, Any] = {}
     settings: dict[str, Any] = {}  # merged into its settings
 
 
@@ -93,12 +96,14 @@
 
 
 class Settle(_Strict):
-    """Until all of these say so, by an operators' call."""
+    """Until all of these say so, by an operators' call or, where one is named, by a counter."""
 
     at: float
     who: list[str] = msgspec.field(default_factory=lambda: ["sidecars"])
     call: str = "PING"
-    answer: str = "200"
+    answer: str = "200"  # what its answer begins with
+    counter: str = ""
+    least: int = 1  # of the counter
     within: float = 60.0
 
 
@@ -207,6 +212,7 @@
     for index, settle in enumerate(found.settles):
         key = f"settles[{index}]"
         _within(f"{key}.at", settle.at, found.seconds)
+        _least(f"{key}.within", settle.within, 0.0)
         _group(f"{key}.who", settle.who, found, ("sidecars",))
     for index, window in enumerate(found.windows):
         _within(f"windows[{index}].since", window.since, found.seconds)
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -189,6 +189,25 @@
     assert "s-0" not in told and "s-0" in used and not played.breaches
 
 
+def test_datagrams_between_members_go_by_their_own_ways() -> None:
+    """A cut of one way between two of four: what the other way and the other pairs bring goes on."""
+    fleet = Fleet(
+        processes=4,
+        command=[sys.executable, "-m", "tests.datagram_peer"],
+        datagrams=True,
+        config={"own": "{own}", "public": "{public}", "all": "{all}"},
+    )
+    cut = FaultLine(at=0.0, what="cut", between=[["sidecars:0"], ["sidecars:1"]], one_way=True)
+    heard = Settle(at=0.0, who=["sidecars:0-1", "sidecars:3"], counter="from_2", least=20)
+    alone = Settle(at=0.0, who=["sidecars:0"], counter="from_1", least=20)
+    one = tiny(fleet=fleet, faults=[cut], settles=[heard, alone], load=Load(rate=0.0, classes={"look": 1.0}))
+    played = bench.play(one, quiet)
+    assert all(settled.took < LONG_S for settled in played.settled)
+    came = played.counters
+    assert came["from_0"] < came["from_2"] and came["from_1"] > 20
+    assert played.ledger.datagrams >= sum(came[f"from_{index}"] for index in range(4)) > 0
+
+
 @pytest.mark.parametrize(
     ("command", "said"),
     [
@@ -216,6 +235,12 @@
         bench.play(one, quiet)
 
 
+def test_what_a_link_costs_is_measured() -> None:
+    result = CliRunner().invoke(main, ["fleet", "cost", "--count", "50"])
+    rows = [line.split("|")[1].strip() for line in result.output.splitlines()]
+    assert result.exit_code == 0 and rows == ["way", "---", "direct", "through a link"]
+
+
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
 def test_an_interrupted_run_leaves_neither_processes_nor_a_result(tmp_path: Path, number: int) -> None:
     path = ROOT / "examples/scenarios/small.toml"
