--- a/larkcrank/config/settings.py
+++ b/larkcrank/config/settings.py
@@ -46,6 +46,7 @@
     connect_timeout_ms: float = 250.0
     keepalive_ms: float = 15000.0
     max_open: int = 20000
+    peers: bool = False
     may_cancel: bool = False
     probes: bool = False
     second_copies: bool = False
@@ -103,6 +104,7 @@
     connect_timeout_ms: float
     keepalive_ms: float  # an endpoint closes a connection that stood idle so long
     max_open: int  # requests in hand
+    may_talk: bool  # whether sidecars may send each other messages
     grace_ms: float  # after the client's deadline an answer still counts so long
     load_fields: tuple[str, ...]
     zones: tuple[str, ...]
@@ -135,6 +137,7 @@
         connect_timeout_ms=bounds.connect_timeout_ms,
         keepalive_ms=bounds.keepalive_ms,
         max_open=bounds.max_open,
+        may_talk=bounds.peers,
         grace_ms=config.contract.grace_to_answer_ms,
         load_fields=() if config.report.how == "silent" else tuple(config.report.fields),
         zones=tuple(config.zones),
--- a/larkcrank/config/sidecar.py
+++ b/larkcrank/config/sidecar.py
@@ -27,6 +27,14 @@
     body_mb: float = MAX_BODY / (1 << 20)
 
 
+class _Fleet(msgspec.Struct):
+    name: str
+    listen: str
+    secret: str = ""
+    public: str = ""
+    seeds: list[str] = []
+
+
 class _File(msgspec.Struct):
     settings: dict[str, Any]
     name: str = ""
@@ -37,6 +45,18 @@
     known: msgspec.Raw = msgspec.Raw(b"")
     kept: str = ""
     ops: str = ""
+    fleet: _Fleet | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class FleetConfig:
+    """What a member of a fleet is told."""
+
+    name: str
+    listen: tuple[str, int]  # for datagrams
+    secret: str
+    public: str  # host:port at which others reach it; empty: where it listens
+    seeds: tuple[str, ...]  # host:port of members to begin with
 
 
 @dataclass(slots=True, frozen=True)
@@ -51,6 +71,7 @@
     known: bytes  # the list as last held, in discovery's form; empty where there is none
     ops: tuple[str, int] | None  # where operators call; None: nowhere
     passed: int | None  # descriptor of the clients' listening socket, where the platform holds it
+    fleet: FleetConfig | None  # None: this sidecar keeps no view of its fellows
     kept: str  # path of the file for what was learnt, written at a planned end; empty: none
     site: Site
     settings: dict[str, Any]  # as the file has them
@@ -62,6 +83,7 @@
             "listen": (self.listen, new.listen),
             "kept": (self.kept, new.kept),
             "ops": (self.ops, new.ops),
+            "fleet": (self.fleet, new.fleet),
             "limits.memory_mb": (self.memory_mb, new.memory_mb),
             "limits.body_mb": (self.max_body, new.max_body),
             "limits.sockets": (self.sockets, new.sockets),
@@ -114,6 +136,7 @@
         known=bytes(file.known),
         ops=_place("ops", ops, lowest=0) if ops else None,
         passed=_descriptor(environment.get("PROXY_PASSED_SOCKET", "")),
+        fleet=_fleet(file.fleet),
         kept=file.kept,
         site=site,
         settings=file.settings,
@@ -127,6 +150,16 @@
         raise ConfigError(f"{key}: {error}") from None
 
 
+def _fleet(told: _Fleet | None) -> FleetConfig | None:
+    if told is None:
+        return None
+    if not told.name:
+        raise ConfigError("fleet.name: empty")
+    public = told.public and "{}:{}".format(*_place("fleet.public", told.public))
+    seeds = tuple("{}:{}".format(*_place(f"fleet.seeds[{i}]", seed)) for i, seed in enumerate(told.seeds))
+    return FleetConfig(told.name, _place("fleet.listen", told.listen, lowest=0), told.secret, public, seeds)
+
+
 def _descriptor(text: str) -> int | None:
     if not text:
         return None
--- /dev/null
+++ b/larkcrank/fleet/speaker.py
@@ -0,0 +1,138 @@
+"""The fleet's socket: datagrams, the tick, log lines, counters. All decisions are `Membership`'s."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Protocol, cast
+
+import msgspec
+
+from larkcrank.config.sidecar import FleetConfig
+from larkcrank.fleet.membership import TICK_MS, Membership, Out
+from larkcrank.fleet.records import Record, Standing
+from larkcrank.fleet.wire import Codec, DatagramError
+
+LIFE_BITS = 62
+
+
+class Journal(Protocol):
+    def event(self, name: str, **fields: object) -> None: ...
+
+
+@dataclass(slots=True)
+class FleetCounters:
+    """`docs/fleet-view.md` says what they mean."""
+
+    datagrams_in: int = 0
+    datagrams_out: int = 0
+    bytes_out: int = 0
+    unsendable: int = 0
+    replayed: int = 0
+    refused: dict[str, int] = field(default_factory=dict)  # by reason
+    deaths: int = 0  # members that this one has seen die
+
+
+class Speaker(asyncio.DatagramProtocol):
+    """Owns the datagram socket and the timer of one member."""
+
+    def __init__(
+        self, config: FleetConfig, name: str, zone: str, clock: Callable[[], float], log: Journal
+    ) -> None:
+        self.counters = FleetCounters()
+        self._config, self._name, self._zone = config, name, zone
+        self._clock, self._log = clock, log
+        self._codec = Codec(config.name, config.secret)
+        self._transport: asyncio.DatagramTransport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self.membership: Membership | None = None
+
+    async def start(self) -> None:
+        """Raises OSError where the address can't be had."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=self._config.listen)
+        assert self._transport is not None
+        host, port = self._transport.get_extra_info("sockname")[:2]
+        place = self._config.public or f"{host}:{port}"
+        now = self._clock()
+        me = Record(self._name, place, self._zone, secrets.randbits(LIFE_BITS), 1, started_ms=now)
+        self.membership = Membership(me, self._config.seeds, Random(secrets.randbits(64)), now)
+        self._log.event("fleet_joining", fleet=self._config.name, place=place, seeds=len(self._config.seeds))
+        self._tick()
+
+    def leave(self) -> None:
+        """The planned end: tell some others, then close."""
+        if self.membership is not None and self._transport is not None:
+            self._send(self.membership.leave(self._clock()))
+        self.close()
+
+    def close(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._transport is not None:
+            self._transport.close()
+        self._timer = self._transport = None
+
+    def view(self) -> str:
+        """One line: how many live, the digest, then all members as JSON."""
+        if self.membership is None:
+            return "live 0 digest none []"
+        membership = self.membership
+        members = [
+            {"name": one.name, "place": one.place, "zone": one.zone, "standing": one.standing.name.lower()}
+            | {"incarnation": one.incarnation, "life": f"{one.life:x}"}
+            for one in sorted(membership.members.values(), key=lambda record: record.name)
+        ]
+        text = msgspec.json.encode(members).decode()
+        return f"live {len(membership.live())} digest {membership.digest.whole:016x} {text}"
+
+    # What the loop calls
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        if self.membership is None:
+            return
+        self.counters.datagrams_in += 1
+        try:
+            message = self._codec.decode(data)
+        except DatagramError as refused:
+            self.counters.refused[refused.why] = self.counters.refused.get(refused.why, 0) + 1
+            return
+        self._send(self.membership.receive(self._clock(), f"{addr[0]}:{addr[1]}", message))
+        self.counters.replayed = self.membership.replayed
+        self._tell()
+
+    def error_received(self, exc: Exception) -> None:
+        """Nobody listens where we sent: the failure detector will say so."""
+
+    def _tick(self) -> None:
+        assert self.membership is not None
+        self._timer = asyncio.get_running_loop().call_later(TICK_MS / 1000.0, self._tick)
+        self._send(self.membership.tick(self._clock()))
+        self._tell()
+
+    def _send(self, outs: list[Out]) -> None:
+        if self._transport is None:
+            return
+        for out in outs:
+            host, _, port = out.place.rpartition(":")
+            try:
+                data = self._codec.encode(out.message)
+                self._transport.sendto(data, (host, int(port)))
+            except (ValueError, OSError):  # a place that is none came with somebody's record
+                self.counters.unsendable += 1
+                continue
+            self.counters.datagrams_out += 1
+            self.counters.bytes_out += len(data)
+
+    def _tell(self) -> None:
+        assert self.membership is not None
+        for change in self.membership.changes:
+            self.counters.deaths += change.standing is Standing.DEAD
+            what = change.standing.name.lower()
+            live = len(self.membership.live())
+            self._log.event("fleet_member", member=change.name, standing=what, by=change.why, live=live)
+        self.membership.changes.clear()
--- a/larkcrank/lab/bench.py
+++ b/larkcrank/lab/bench.py
@@ -32,6 +32,7 @@
 LAG_BEAT_S = 0.02
 STARTS_AT_ONCE = 8  # processes that start side by side: a crowded machine makes all of them late
 POLL_S = 0.05
+SEEDS = 3  # the first members, which others may be told to begin with
 MOST_DESCRIPTORS = 1 << 16
 
 
@@ -246,6 +247,7 @@
         if self._relays:
             names["own"] = "{}:{}".format(*(self._relays[index].member or ()))
             names["public"] = "{}:{}".format(*self._relays[index].place)
+            names |= {f"seed{i}": "{}:{}".format(*one.place) for i, one in enumerate(self._relays[:SEEDS])}
             names["all"] = ",".join("{}:{}".format(*relay.place) for relay in self._relays)
         more = {key: value for key, value in fleet.config.items() if key != "settings"}
         return merged(config, _filled(more, names))
@@ -303,20 +305,26 @@
         while waiting and self._ledger.now() - settle.at < settle.within:
             ordered = sorted(waiting)
             saying = await asyncio.gather(*(self._says(self._children[i], settle) for i in ordered))
-            waiting -= {index for index, says in zip(ordered, saying, strict=True) if says}
+            heads = {" ".join(said.split()[: settle.alike]) for said in saying}
+            if not settle.alike:
+                waiting -= {index for index, said in zip(ordered, saying, strict=True) if said}
+            elif all(saying) and len(heads) == 1:
+                waiting.clear()
             if waiting:
                 await asyncio.sleep(POLL_S)
         took = math.inf if waiting else self._ledger.now() - settle.at
         self._settled.append(Settled(settle.at, settle.counter or settle.call, took))
 
-    async def _says(self, child: Child, settle: Settle) -> bool:
+    async def _says(self, child: Child, settle: Settle) -> str:
+        """What it says if that is what was waited for; empty if not."""
         if not settle.counter:
-            return (await child.call(settle.call)).startswith(settle.answer)
+            said = await child.call(settle.call)
+            return said if said.startswith(settle.answer) else ""
         try:
             found = (await child.ask_counters()).get(settle.counter)
         except TimeoutError:
-            return False
-        return isinstance(found, int) and found >= settle.least
+            return ""
+        return str(found) if isinstance(found, int) and found >= settle.least else ""
 
     # Faults
 
--- a/larkcrank/lab/processes.py
+++ b/larkcrank/lab/processes.py
@@ -20,6 +20,7 @@
 
 START_S = 60.0  # a process that is not ready by then does not start; the machine may be crowded
 CALL_S = 5.0
+LINE_BYTES = 1 << 22  # a view of thousands of members is one line
 LAST_LINES = 20
 _PR_SET_PDEATHSIG = 1
 _libc = ctypes.CDLL(None)
@@ -151,7 +152,7 @@
             return ""
         try:
             async with asyncio.timeout(CALL_S):
-                reader, writer = await asyncio.open_connection(*self.ops)
+                reader, writer = await asyncio.open_connection(*self.ops, limit=LINE_BYTES)
                 try:
                     writer.write(text.encode() + b"\n")
                     return (await reader.readline()).decode("latin-1").strip()
--- a/larkcrank/lab/scenario.py
+++ b/larkcrank/lab/scenario.py
@@ -42,7 +42,8 @@
     zones: list[str] = msgspec.field(default_factory=lambda: ["here"])  # members take them in turn
     datagrams: bool = False  # whether each member has an address for datagrams; see `config`
     # Merged into each process's configuration. In its texts {i} is the member's number, {own} where it binds
-    # its socket for datagrams, {public} where others reach it, {all} the public addresses, with commas.
+    # its socket for datagrams, {public} where others reach it, {all} the public addresses, with commas,
+    # {seed0} to {seed2} those of the first three.
     config: dict[str, Any] = {}
     settings: dict[str, Any] = {}  # merged into its settings
 
@@ -102,6 +103,7 @@
     who: list[str] = msgspec.field(default_factory=lambda: ["sidecars"])
     call: str = "PING"
     answer: str = "200"  # what its answer begins with
+    alike: int = 0  # the first so many words of the answer have to be the same from all
     counter: str = ""
     least: int = 1  # of the counter
     within: float = 60.0
--- a/larkcrank/program/ops.py
+++ b/larkcrank/program/ops.py
@@ -28,8 +28,10 @@
         descriptors: Descriptors,
         called: Callable[[Call, bool], None],
         failed: Callable[[str, BaseException], None],
+        view: Callable[[], str | None],
     ) -> None:
-        self._life = life
+        """`view` tells the fleet in a line; None where this sidecar keeps no view of it."""
+        self._life, self._view = life, view
         self._called = called
         self._failed = failed
         self._open: OrderedDict[Connection, None] = OrderedDict()  # longest first
@@ -77,6 +79,10 @@
                 pass
         except CallError as error:
             return ops.answer(False, str(error))
+        if call is Call.VIEW:
+            told = self._view()
+            self._called(call, told is not None)
+            return ops.answer(told is not None, told or "no view of the fleet is kept")
         done = self._carry_out(call)
         self._called(call, done)
         return ops.answer(done, self._life.phase.value)
@@ -89,3 +95,5 @@
                 return self._life.drain()
             case Call.REJOIN:
                 return self._life.rejoin()
+            case Call.VIEW:
+                return self._view() is not None
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -6,9 +6,10 @@
 import socket
 import tempfile
 from collections.abc import Callable
+from dataclasses import asdict
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from larkcrank.config.sidecar import Config, ConfigError
 from larkcrank.core.balancer import Balancer
@@ -29,6 +30,9 @@
 from larkcrank.transport.listener import Listener
 from larkcrank.transport.pool import Pool
 
+if TYPE_CHECKING:
+    from larkcrank.fleet.speaker import Speaker
+
 ACCEPT_ON_S = 0.55  # after SIGTERM new connections go on coming for up to 0.4 s
 LEAVE_IDLE_S = 0.4  # and clients go on using those that they have
 REST_S = 0.2  # but one just answered may bring its next request any moment
@@ -105,9 +109,11 @@
         self._successors: handover.Successors | None = None
         self._operators: Listener | None = None
         if config.ops is not None:
-            operators = Operators(self.life, self.descriptors, self._called, log.failure)
+            operators = Operators(self.life, self.descriptors, self._called, log.failure, self._view)
             self._operators = Listener(config.ops, self.descriptors, operators.accept, Use.OPERATOR)
         self._sending_away: asyncio.Task[None] | None = None
+        self._speaker: Speaker | None = None
+        self._joining: asyncio.Task[None] | None = None
         self._always_watch = not site.decisions.must_ask
         self._known = config.known
         self._known_count = 0
@@ -144,7 +150,7 @@
             self.log.event("handover_unusable", message=str(error))
         if self._predecessor is not None:
             self._shares(0, 1)
-            self._predecessor.watch(lambda: self._shares(0, 0))
+            self._predecessor.watch(self._predecessor_gone)
         self._learn_list(handed)
         if wait:
             until = asyncio.get_running_loop().time() + LIST_S
@@ -184,6 +190,38 @@
         self.budget.share_with(sum(self._others))
         self.log.event("processes", beside=sum(self._others))
 
+    def _predecessor_gone(self) -> None:
+        self._shares(0, 0)
+        if self.life.phase is not Phase.STARTING:
+            self._join()
+
+    def _join(self) -> None:
+        """Begin to keep a view of the fleet, where one is configured and the platform lets sidecars talk.
+
+        Two processes of one sidecar are one member: the first speaks until it is gone.
+        """
+        config = self._config
+        if config.fleet is None or self._joining is not None or self._others[0]:
+            return
+        if not config.site.may_talk:
+            self.log.event("fleet_off", reason="settings.bounds.peers is false: sidecars may not talk")
+            return
+        from larkcrank.fleet.speaker import Speaker  # a plain sidecar's start does not pay for it
+
+        zones, zone = config.site.zones, config.site.decisions.zone
+        named = zones[zone] if zone < len(zones) else str(zone)
+        self._speaker = Speaker(config.fleet, config.name, named, self._clock, self.log)
+        self._joining = asyncio.get_running_loop().create_task(self._start_speaker(self._speaker))
+
+    async def _start_speaker(self, speaker: "Speaker") -> None:
+        try:
+            await speaker.start()
+        except OSError as error:  # it serves all the same
+            self.log.event("fleet_off", reason=str(error))
+
+    def _view(self) -> str | None:
+        return None if self._speaker is None else self._speaker.view()
+
     def start(self) -> None:
         """Serve from now on, by the list as last held until discovery answers."""
         if self._operators is not None:
@@ -215,6 +253,7 @@
     def _open_door(self) -> None:
         self._listener.start()
         self.life.start()
+        self._join()
         host, port = self.place
         more = {"ops": "{}:{}".format(*self.ops_place)} if self._operators is not None else {}
         self.log.event("ready", listen=f"{host}:{port}", known=self._known_count, **more)
@@ -282,7 +321,8 @@
         self._discovery.move(new.discovery)
 
     def show_counters(self) -> None:
-        self.log.event("counters", **self.counters.shown())
+        more = {} if self._speaker is None else {"fleet": asdict(self._speaker.counters)}
+        self.log.event("counters", **self.counters.shown(), **more)
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -315,9 +355,11 @@
 
     def close(self) -> None:
         """Give back what a sidecar holds besides its clients' connections."""
-        for listener in (self._listener, self._operators):
+        for listener in (self._listener, self._operators, self._speaker):
             if listener is not None:
                 listener.close()
+        if self._joining is not None:
+            self._joining.cancel()
         if self._sending_away is not None:
             self._sending_away.cancel()
         for other in (self._predecessor, self._successors):
@@ -329,6 +371,8 @@
     async def wind_down(self) -> None:
         """Serve on while clients still come, then answer what was taken, then go."""
         self.log.event("winding_down", connections=self.clients.open)
+        if self._speaker is not None and not self._others[1]:  # else this member goes on in the successor
+            self._speaker.leave()
         loop = asyncio.get_running_loop()
         began = loop.time()
         longest = max(cls.deadline_ms for cls in self._config.site.decisions.classes)
--- a/larkcrank/protocol/ops.py
+++ b/larkcrank/protocol/ops.py
@@ -9,6 +9,7 @@
     PING = b"PING"
     LAMEDUCK = b"LAMEDUCK"
     REJOIN = b"REJOIN"
+    VIEW = b"VIEW"
 
 
 class CallError(Exception):
