--- a/larkcrank/command/main.py
+++ b/larkcrank/command/main.py
@@ -1,6 +1,7 @@
 """`larkcrank`: serve, check a configuration, play the fleet bench. Needs the extra `lab`, but for `serve`."""
 
 import os
+import socket
 import sys
 from pathlib import Path
 from typing import NoReturn
@@ -12,6 +13,7 @@
 from larkcrank.config import sidecar
 
 BAD_INPUT = 2
+VIEW_S = 5.0
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -133,6 +135,33 @@
         click.echo(f"| {name} | {one.p50_us:.0f} | {one.p99_us:.0f} | {one.cpu_us:.0f} |")
 
 
+@fleet.command("view")
+@click.argument("place")
+def fleet_view(place: str) -> None:
+    """The fleet as the sidecar at PLACE (host:port of its operators' address) sees it."""
+    from larkcrank.protocol.discovery import host_port
+
+    try:
+        host, port = host_port(place)
+        with socket.create_connection((host, port), timeout=VIEW_S) as sock:
+            sock.sendall(b"VIEW\n")
+            told = b"".join(iter(lambda: sock.recv(65536), b"")).decode("utf-8", "replace")
+    except ValueError as error:
+        _refuse(str(error))
+    except OSError as error:
+        click.echo(f"{place}: {error}", err=True)
+        sys.exit(1)
+    code, _, text = told.partition(" ")
+    if code != "200":
+        click.echo(f"{place}: {text.strip() or 'no answer'}", err=True)
+        sys.exit(1)
+    head, _, members = text.partition(" [")
+    click.echo(f"{head}\n\n| member | standing | place | zone | incarnation | life |\n|{' --- |' * 6}")
+    for one in msgspec.json.decode("[" + members):
+        row = (one[key] for key in ("name", "standing", "place", "zone", "incarnation", "life"))
+        click.echo(f"| {' | '.join(map(str, row))} |")
+
+
 def _log() -> structlog.typing.FilteringBoundLogger:
     """One JSON object a line on standard error, as the sidecar has it."""
     structlog.configure(
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -260,7 +260,7 @@
 
     def _called(self, call: Call, done: bool) -> None:
         self.counters.operators_calls += 1
-        if call is not Call.PING:  # that one comes again and again
+        if call not in (Call.PING, Call.VIEW):  # these come again and again
             self.log.event("operators_call", call=call.name, done=done, now=self.life.phase.value)
 
     def _life_changed(self) -> None:
--- /dev/null
+++ b/tests/test_fleet_program.py
@@ -0,0 +1,105 @@
+"""The view of the fleet in the program itself: real processes, killed and cut, and the operators' call."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+from click.testing import CliRunner
+
+from larkcrank.command.main import main
+from larkcrank.lab import bench
+from larkcrank.lab.scenario import Endpoints, FaultLine, Fleet, Load, Scenario, Settle
+from tests import bed as b
+from tests.frames import CONFIG
+from tests.test_program import event, started
+
+FLEET = {
+    "name": "t",
+    "listen": "{own}",
+    "public": "{public}",
+    "seeds": ["{seed0}", "{seed1}"],
+}
+
+
+def test_views_settle_after_a_death_and_a_cut() -> None:
+    """Five processes: one is killed and comes back with nothing, then two are cut off and found again."""
+    settle: dict[str, Any] = {"call": "VIEW", "alike": 5, "within": 60.0}
+    one = Scenario(
+        name="view",
+        seconds=50.0,
+        fleet=Fleet(
+            processes=5, datagrams=True, config={"fleet": FLEET}, settings={"bounds": {"peers": True}}
+        ),
+        endpoints=Endpoints(count=2, service_ms=5.0),
+        load=Load(rate=2.0, classes={"look": 1.0}),
+        faults=[
+            FaultLine(at=10.0, what="kill", who=["sidecars:4"], last=40.0),
+            FaultLine(at=10.0, what="cut", between=[["sidecars:0-1"], ["sidecars:2-3"]], last=40.0),
+        ],
+        settles=[
+            # Both sides go on, each with its own view; all five know each other before and after.
+            Settle(at=0.0, answer="200 live 5 ", **settle),
+            Settle(at=10.0, who=["sidecars:0-1"], answer="200 live 2 ", **settle),
+            Settle(at=10.0, who=["sidecars:2-3"], answer="200 live 2 ", **settle),
+            Settle(at=50.0, answer="200 live 5 ", **settle),
+        ],
+        slack_ms=15000.0,
+    )
+    played = bench.play(one, lambda text: None)
+    assert len(played.settled) == 4
+    assert all(settled.took < 60.0 for settled in played.settled)
+    assert played.breaches == [] and played.ledger.datagrams > 100
+
+
+def test_off_where_sidecars_may_not_talk_and_where_it_is_not_configured(tmp_path: Path) -> None:
+    async def play() -> None:
+        endpoint = b.Endpoint("e")
+        async with b.bed(endpoint, ops="127.0.0.1:0") as bed:
+            assert await bed.operator(b"VIEW\n") == b"400 no view of the fleet is kept\n"
+            assert "fleet_off" not in bed.events()
+
+    b.run(play())
+    config = {
+        "name": "n",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "fleet": {"name": "t", "listen": "127.0.0.1:0"},
+        "settings": CONFIG | {"grades": b.CLASSES},
+    }
+    path = tmp_path / "c.json"
+    path.write_text(json.dumps(config))
+    with started("-m", "larkcrank", PROXY_CONFIG=str(path)) as process:
+        assert "may not talk" in event(process, "fleet_off")["reason"]
+        event(process, "ready")
+
+
+def test_a_plain_start_loads_nothing_of_it() -> None:
+    code = (
+        "import sys; import larkcrank.__main__;"
+        "print([m for m in sys.modules if m.split('.')[0] in ('click', 'uvloop', 'structlog', 'psutil')"
+        " or m.startswith(('larkcrank.fleet', 'larkcrank.lab', 'larkcrank.command'))])"
+    )
+    with started("-c", code) as process:
+        assert process.stdout is not None
+        assert process.stdout.read().strip() == "[]"
+
+
+def test_view_on_the_command_line(tmp_path: Path) -> None:
+    config = {
+        "name": "n",
+        "listen": "127.0.0.1:0",
+        "ops": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "fleet": {"name": "t", "listen": "127.0.0.1:0", "seeds": ["127.0.0.1:1"]},
+        "settings": CONFIG | {"grades": b.CLASSES, "bounds": CONFIG["bounds"] | {"peers": True}},
+    }
+    path = tmp_path / "c.json"
+    path.write_text(json.dumps(config))
+    with started("-m", "larkcrank", PROXY_CONFIG=str(path)) as process:
+        ready = event(process, "ready")
+        event(process, "fleet_joining")
+        result = CliRunner().invoke(main, ["fleet", "view", ready["ops"]])
+        assert result.exit_code == 0, result.output
+        assert result.output.startswith("live 1 digest ") and "| n | alive | 127.0.0.1:" in result.output
+    assert CliRunner().invoke(main, ["fleet", "view", "here"]).exit_code == 2
+    assert CliRunner().invoke(main, ["fleet", "view", ready["ops"]]).exit_code == 1
