View: doubt of oneself lengthens periods, not suspicions, and goes to 4

Cause: a side of two members of five, cut off, asks only members it can't reach, so its doubt went to 8 and stretched both its periods and its suspicions ninefold: it needed minutes to see who is there. Lifeguard scales the probe alone.

--- a/larkcrank/fleet/membership.py
+++ b/larkcrank/fleet/membership.py
@@ -43,7 +43,7 @@
 SUSPECT_MIN = 5.0  # periods, times log10 of the fleet's size
 SUSPECT_MAX = 4.0  # times that, while nobody agrees
 AGREE = 3  # others whose agreement brings it down to the least
-DOUBT_MOST = 8  # of ourselves: periods and suspicions are as many times longer, and once more
+DOUBT_MOST = 4  # of ourselves: periods are as many times longer, and once more
 NEWS_TIMES = 3.0  # tellings of a piece of news, times log2 of the fleet's size
 NEWS_BYTES = 700  # of news in one datagram
 STALL_MS = 1000.0  # a tick so late is our own stall
@@ -388,7 +388,6 @@
         self._dead_at.pop(record.name, None)
         if record.standing is Standing.SUSPECT:
             least = SUSPECT_MIN * PERIOD_MS * max(math.log10(max(len(self.live()), 1)), 1.0)
-            least *= 1 + self.doubt if record.by == self.me.name else 1
             suspicion = _Suspicion(self._now, record.incarnation, least, least * SUSPECT_MAX, set())
             if record.by and record.by != self.me.name:
                 suspicion.by.add(record.by)
