--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -296,9 +296,8 @@
         owes = sum(one.index not in self._stuck for one in server.owes) if self._stuck else len(server.owes)
         if owes and (server.fails or owes + 1 > due + CHANCE_OWED * math.sqrt(due)):
             return False  # one trial at a time; and what is owed beyond chance counts against the quota
-        if not self._is_warm_enough(server):
-            return False
-        return has_quota(self._brake(server), self._now, self._window, self._span)
+        brake = self._brake(server)
+        return self._is_warm_enough(server) and has_quota(brake, self._now, self._window, self._span)
 
     def _is_warm_enough(self, server: Server) -> bool:
         """Rule 4: a cold server gets the part of its even share that it surely can do, no more."""
@@ -581,6 +580,8 @@
         elif event.result is Result.OK and not stuck:
             self._settle(attempt, False)
             server.fails //= 2
+            if server.fails == DOUBT_FAILS // 2:  # the part shrinks in step: who took more on gives it back
+                self._turns()
             server.spared.pop(attempt.index, None)
             # What is overdue and was overtaken is lost on its connection: the server owes it to nobody.
             server.owes = [one for one in server.owes if not one.missed or one.sent_at > attempt.sent_at]
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -164,18 +164,25 @@
     assert at_home > 110  # with turns alone 50
 
 
-def test_a_part_grows_by_those_that_fail_again_and_again() -> None:
-    desk = Desk(servers=20, instances=50)
-    before = {server.endpoint.address for server in desk.balancer._ring}
-    for _ in range(80):
+def play(desk: Desk, requests: int, failing: set[bytes]) -> None:
+    for _ in range(requests):
         desk.take()
         while desk.out:
             number, attempt = next(iter(desk.out))
-            failed_there = desk.out[number, attempt] in before
-            desk.end(number, Result.CONNECT_FAILED if failed_there else Result.OK, attempt)
+            fails = desk.out[number, attempt] in failing
+            desk.end(number, Result.CONNECT_FAILED if fails else Result.OK, attempt)
         desk.wait(300.0)
+
+
+def test_a_part_grows_by_those_that_fail_again_and_again_and_shrinks_as_they_answer() -> None:
+    desk = Desk(servers=20, instances=50)
+    before = {server.endpoint.address for server in desk.balancer._ring}
+    play(desk, 80, before)
     failed = [server for server in desk.balancer._ring if server.fails >= DOUBT_FAILS]
     assert len(failed) >= 2 and len(desk.balancer._ring) - len(failed) >= len(before)
+    # A part that stayed wide until the next list kept a fleet's connections and late answers after a split.
+    play(desk, 600, set())
+    assert {server.endpoint.address for server in desk.balancer._ring} == before
 
 
 @pytest.mark.parametrize("instances, deviations", [(2, math.inf), (100, 1.5)])
