Fleet bench: clients leave an ending process alone, what crosses a closing connection is not taken

Ruled out: the sidecar; each lost request had no attempt and stood on a connection that it could not accept or read.

--- a/larkcrank/lab/clients.py
+++ b/larkcrank/lab/clients.py
@@ -69,7 +69,8 @@
         if (ask := self._free()) is None:
             return
         if self.used and not self._begun and not ask.resent:
-            ask.resent = True  # the end of a connection that had rested crossed the request
+            ask.resent = True  # the end of a connection that had rested crossed the request ...
+            ask.sent_at = -1.0  # ... which nobody has taken: it counts as sent with the new one
             self._clients.send_again(ask)
             return
         ask.ended_at, ask.why = self._clients.ledger.now(), "cut off"
--- a/larkcrank/lab/processes.py
+++ b/larkcrank/lab/processes.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import ctypes
+import math
 import os
 import signal
 import socket
@@ -20,6 +21,7 @@
 
 START_S = 60.0  # a process that is not ready by then does not start; the machine may be crowded
 CALL_S = 5.0
+COME_ON_S = 0.3  # after SIGTERM new connections go on coming, as the platform has it for 0.2 to 0.4 s
 LINE_BYTES = 1 << 22  # a view of thousands of members is one line
 LAST_LINES = 20
 _PR_SET_PDEATHSIG = 1
@@ -60,6 +62,7 @@
         self._told: dict[str, asyncio.Future[dict[str, Any]]] = {}
         self._reserved = [reserve(), reserve()]
         self._expected = False  # its end was asked for
+        self._away_at = math.inf  # from then on the platform brings it no new connections
         self.crashed: asyncio.Future[str] = asyncio.get_running_loop().create_future()
 
     @property
@@ -68,9 +71,10 @@
 
     @property
     def place(self) -> tuple[str, int] | None:
-        """Where its clients go; None while no process is there."""
+        """Where its clients go; None while no process is there, or one ends and is left."""
         port: int = self._reserved[0].getsockname()[1]
-        return ("127.0.0.1", port) if self._process is not None else None
+        away = asyncio.get_running_loop().time() >= self._away_at
+        return ("127.0.0.1", port) if self._process is not None and not away else None
 
     @property
     def ops(self) -> tuple[str, int]:
@@ -94,7 +98,7 @@
         environment = {key: value for key, value in os.environ.items() if not key.startswith("PROXY_")}
         environment |= {"PROXY_CONFIG": str(path), "TMPDIR": str(self._folder)}
         began = loop.time()
-        self._expected = False
+        self._expected, self._away_at = False, math.inf
         self._process = await asyncio.create_subprocess_exec(
             *self._command,
             env=environment,
@@ -125,6 +129,7 @@
         if self._process is not None:
             self._expected = True
             self._event("ending", self.name, "")
+            self._away_at = asyncio.get_running_loop().time() + COME_ON_S
             self._process.terminate()
             await self._gone()
 
