--- a/larkcrank/fleet/membership.py
+++ b/larkcrank/fleet/membership.py
@@ -21,7 +21,6 @@
 from larkcrank.fleet.wire import (
     MOST_BYTES,
     SEAL_BYTES,
-    VERSION,
     Ack,
     Ask,
     Differ,
@@ -521,8 +520,3 @@
                 records.append(record)
         self._learn(page.records)
         return Reply(*self._head(name), page.bucket, upto, records)
-
-
-def speaks(record: Record) -> bool:
-    """Whether a member on another version can be understood."""
-    return record.versions[0] <= VERSION <= record.versions[1]
--- a/larkcrank/fleet/speaker.py
+++ b/larkcrank/fleet/speaker.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
-from typing import Protocol, cast
+from typing import cast
 
 import msgspec
 
@@ -13,14 +13,11 @@
 from larkcrank.fleet.membership import TICK_MS, Membership, Out
 from larkcrank.fleet.records import Record, Standing
 from larkcrank.fleet.wire import Codec, DatagramError
+from larkcrank.routing.driver import Journal
 
 LIFE_BITS = 62
 
 
-class Journal(Protocol):
-    def event(self, name: str, **fields: object) -> None: ...
-
-
 @dataclass(slots=True)
 class FleetCounters:
     """`docs/fleet-view.md` says what they mean."""
