The view tells the balancer how many there are and which part is this one's

Need: n-instances and ordinal of the configuration are stale after a scale-out or a crash; parts, shared places and the spread of calls to discovery hang on them.

Change: fleet/ranks.py (pure) makes count and place of the view's names: ranks in the order of a hash, dampened (a death counts after 10 s, later each time; joins after 2 s), and nothing moves while the view is in doubt (just started, on the move, this one slow, many lost at one moment); the larger of all counts then binds what is shared.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -13,8 +13,8 @@
 from random import Random
 
 from larkcrank.core.interface import (
-    Action, Address, Cancel, ClientGone, DiscoveryFailed, Effect, Event, Fail, FetchList, Group, Log, Outcome,
-    Refuse, Request, Result, Send, ServerList, Settings, SetTimer, State,
+    Action, Address, Cancel, ClientGone, DiscoveryFailed, Effect, Event, Fail, FetchList, FleetSize, Group,
+    Log, Outcome, Refuse, Request, Result, Send, ServerList, Settings, SetTimer, State,
     StreamStarted, TimerFired, Uploaded, Watch,
 )  # fmt: skip
 from larkcrank.core.state import Attempt, Brake, Job, Learnt, Line, Meter, Server
@@ -37,8 +37,7 @@
 CHANCE_OWED = 2.0  # ... and at one
 OWED_LEAST = 1.5  # places a server and its shared ones: a single one is lost with one lost answer
 OVERDUE_TIMES = 4.0  # an answer is overdue after this many usual answer times ...
-OVERDUE_AIM = 0.5  # ... or this share of its aim: later leaves no time to mend it
-OVERDUE_LATE = 1.0  # ... or the aim, where a later answer still earns something
+OVERDUE_AIM = 0.5  # ... or this share of its aim, or the aim where a later answer still earns something
 ANSWER_WEIGHT = 0.05  # of one answer in the recent answer time, of a quicker one in the usual ...
 USUAL_UP = 0.01  # ... and of a slower one in the usual: a crowd must not make waiting look usual
 FIRST_USUAL_AIM = 0.2  # usual answer time before any answer, as a share of the aim
@@ -133,19 +132,16 @@
         self._missing = [0.0] * len(settings.classes)  # share of each class's sends that was missed of late
         self._stuck: set[int] = set()  # classes that wait at every server
         self._arrivals, self._sends, self._served = Meter(now), Meter(now), Meter(now)  # served: in time
-        self._window = self._even = self._span = self._owe_each = self._owe_all = self._largest = (
-            self._all_due
-        ) = 1.0
-        self._sharers = 1.0  # instances that keep to a server of the ring, on average
+        self._window = self._even = self._span = self._owe_each = self._owe_all = self._all_due = 1.0
+        self._largest = self._sharers = 1.0  # instances that keep to a server of the ring, on average
         self._tenants = [Meter(now) for _ in settings.tenants]
         self._worth, self._taken = 0.0, 0  # mean worth of a request, and how many there were
         self._retries, self._thin, self._weigh = RETRY_SAVED, True, True  # weigh: turns and homes go by size
         self._takes: dict[int, float] = {}  # answer times of each machine type, in usual ones
-        self._sized_at = now
+        self._sized_at, self._fetch_at = now, -math.inf
         # All start or fail together: calls are spread, or most time out and come again as a herd.
         self._spread = min(ASK_EACH_MS * settings.instances, ASK_AGAIN_MS[1])
         self._ask_at, self._ask_wait, self._wake = math.inf, max(self._spread, ASK_AGAIN_MS[0]), -math.inf
-        self._fetch_at = -math.inf
         if settings.must_ask:
             self._ask_in(rng.random() * self._spread)
 
@@ -186,6 +182,10 @@
                 for index, attempt in job.out.items():
                     attempt.sent_at = self._now
                     self._expect(job, index, attempt)
+            case FleetSize():  # as the sidecars count themselves; parts move, so that each server is kept to
+                self._set = replace(self._set, instances=event.count, ordinal=event.ordinal, most=event.most)
+                self._spread = min(ASK_EACH_MS * event.most, ASK_AGAIN_MS[1])
+                self._turns()
             case TimerFired() if event.token == self._timer:
                 self._armed = math.inf
         self._run_due()
@@ -472,7 +472,7 @@
         """From now on the server owes an answer."""
         self._attempts[job.id, index] = attempt
         attempt.server.owes.append(attempt)
-        share = OVERDUE_LATE if job.cls.late_worth else OVERDUE_AIM
+        share = 1.0 if job.cls.late_worth else OVERDUE_AIM  # later leaves no time to mend it
         patience = min(OVERDUE_TIMES * self._usual[job.index], share * job.cls.aim_ms)
         self._at(self._now + patience, "overdue", (job.id, index))
 
@@ -657,7 +657,7 @@
         least = min(max(count // PART_SHARERS[1], PART_SHARERS[0]), PART_SHARERS[1])
         wanted = PART_SERVERS if self._set.listed_sizes else PART_BLIND
         sharers = max(round(wanted / max(total, 1) * count), least)
-        self._sharers = float(count)
+        self._sharers = float(max(count, self._set.most))
         if sharers >= count or total <= PART_LEAST:
             return ready
         # Runs of neighbours on a circle: as many parts hold each server, a changed list moves ends of runs.
@@ -670,5 +670,5 @@
             part.append(ready[(first + len(part)) % total])
             started, fails = part[-1].endpoint.started_at, part[-1].fails
             warm += fails < DOUBT_FAILS and (not started or self._now - started >= self._set.warm_after_ms)
-        self._sharers = max(count * len(part) / total, 1.0)
+        self._sharers = max(max(count, self._set.most) * len(part) / total, 1.0)
         return part
--- a/larkcrank/core/interface.py
+++ b/larkcrank/core/interface.py
@@ -80,6 +80,7 @@
     zone: int = 0
     ordinal: int = 0
     instances: int = 1
+    most: int = 0  # instances that may send to the same servers, where they count themselves (`FleetSize`)
     must_ask: bool = False  # discovery tells changes only to those who asked
     may_cancel: bool = False
     may_probe: bool = False
@@ -200,6 +201,15 @@
     body: bytes
 
 
+@dataclass(slots=True, frozen=True)
+class FleetSize:
+    """How many instances there are, as they count themselves, and which place is this one's, from 0."""
+
+    count: int
+    ordinal: int
+    most: int  # as many as may send to the same servers, also where the view is in doubt; at least the count
+
+
 Event: TypeAlias = (
     Request
     | Uploaded
@@ -211,6 +221,7 @@
     | TimerFired
     | ProbeResult
     | PeerMessage
+    | FleetSize
 )
 
 # Actions
--- a/larkcrank/fleet/speaker.py
+++ b/larkcrank/fleet/speaker.py
@@ -10,12 +10,15 @@
 import msgspec
 
 from larkcrank.config.sidecar import FleetConfig
-from larkcrank.fleet.membership import TICK_MS, Membership, Out
+from larkcrank.core.interface import FleetSize
+from larkcrank.fleet.membership import DOUBT_MOST, TICK_MS, Membership, Out
+from larkcrank.fleet.ranks import Ranks
 from larkcrank.fleet.records import Record, Standing
 from larkcrank.fleet.wire import Codec, DatagramError
 from larkcrank.routing.driver import Journal
 
 LIFE_BITS = 62
+COUNT_MS = 1000.0  # between looks at how many there are
 
 
 @dataclass(slots=True)
@@ -29,17 +32,28 @@
     replayed: int = 0
     refused: dict[str, int] = field(default_factory=dict)  # by reason
     deaths: int = 0  # members that this one has seen die
+    moves: int = 0  # times that this one's place among its fellows changed
 
 
 class Speaker(asyncio.DatagramProtocol):
     """Owns the datagram socket and the timer of one member."""
 
     def __init__(
-        self, config: FleetConfig, name: str, zone: str, clock: Callable[[], float], log: Journal
+        self,
+        config: FleetConfig,
+        name: str,
+        zone: str,
+        configured: FleetSize,
+        clock: Callable[[], float],
+        log: Journal,
+        on_size: Callable[[FleetSize], None],
     ) -> None:
         self.counters = FleetCounters()
         self._config, self._name, self._zone = config, name, zone
+        self._configured, self._on_size = configured, on_size
         self._clock, self._log = clock, log
+        self._count_at = 0.0
+        self.ranks: Ranks | None = None
         self._codec = Codec(config.name, config.secret)
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -55,6 +69,7 @@
         now = self._clock()
         me = Record(self._name, place, self._zone, secrets.randbits(LIFE_BITS), 1, started_ms=now)
         self.membership = Membership(me, self._config.seeds, Random(secrets.randbits(64)), now)
+        self.ranks = Ranks(self._name, self._configured.count, self._configured.ordinal, now)
         self._log.event("fleet_joining", fleet=self._config.name, place=place, seeds=len(self._config.seeds))
         self._tick()
 
@@ -73,16 +88,18 @@
 
     def view(self) -> str:
         """One line: how many live, the digest, then all members as JSON."""
-        if self.membership is None:
+        if self.membership is None or self.ranks is None:
             return "live 0 digest none []"
-        membership = self.membership
+        membership, told, doubt = self.membership, self.ranks.told, self.ranks.doubt
+        doubted = doubt.value.replace(" ", "-")
+        uses = f"place {told.ordinal} of {told.count} most {told.most} doubt {doubted}"
         members = [
             {"name": one.name, "place": one.place, "zone": one.zone, "standing": one.standing.name.lower()}
             | {"incarnation": one.incarnation, "life": f"{one.life:x}"}
             for one in sorted(membership.members.values(), key=lambda record: record.name)
         ]
         text = msgspec.json.encode(members).decode()
-        return f"live {len(membership.live())} digest {membership.digest.whole:016x} {text}"
+        return f"live {len(membership.live())} digest {membership.digest.whole:016x} {uses} {text}"
 
     # What the loop calls
 
@@ -110,6 +127,22 @@
         self._timer = asyncio.get_running_loop().call_later(TICK_MS / 1000.0, self._tick)
         self._send(self.membership.tick(self._clock()))
         self._tell()
+        self._count()
+
+    def _count(self) -> None:
+        """Tell the balancer how many there are, and this one's place, where that is something new."""
+        assert self.membership is not None and self.ranks is not None
+        now, membership, ranks = self._clock(), self.membership, self.ranks
+        if now < self._count_at or membership.is_duplicate:
+            return
+        self._count_at = now + COUNT_MS
+        slow = membership.doubt * 2 >= DOUBT_MOST
+        told = ranks.observe(now, membership.lives, membership.met_at, membership.differed_at, slow)
+        self.counters.moves = ranks.moves
+        if told is not None:
+            doubt = ranks.doubt.value
+            self._log.event("fleet_size", count=told.count, place=told.ordinal, most=told.most, doubt=doubt)
+            self._on_size(told)
 
     def _send(self, outs: list[Out]) -> None:
         if self._transport is None:
--- a/larkcrank/lab/virtual.py
+++ b/larkcrank/lab/virtual.py
@@ -8,10 +8,14 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
-from larkcrank.fleet.membership import TICK_MS, Membership, Out
+from larkcrank.core.interface import FleetSize
+from larkcrank.fleet.membership import DOUBT_MOST, TICK_MS, Membership, Out
+from larkcrank.fleet.ranks import Ranks
 from larkcrank.fleet.records import Record
 from larkcrank.fleet.wire import Codec, DatagramError
 
+COUNT_MS = 1000.0  # between a member's looks at how many there are
+
 
 class World:
     """Members by number; times in ms."""
@@ -23,6 +27,9 @@
         self.delay_ms, self.jitter_ms = delay_ms, delay_ms
         self.cut: Callable[[int, int], bool] = lambda source, to: False
         self.members: dict[int, Membership] = {}  # those whose process lives
+        self.ranks: dict[int, Ranks] = {}  # theirs
+        self.sizes: list[tuple[float, int, FleetSize]] = []  # when, to whom, what its balancer was told
+        self.configured = count  # the number of members that configurations tell
         self.stopped: set[int] = set()
         self.sent = self.bytes = 0
         self.refused: dict[str, int] = {}
@@ -45,11 +52,14 @@
         self._lives[number] = life
         me = Record(name or f"n{number}", f"m:{number}", f"z{number % self._zones}", life, 1)
         self.members[number] = Membership(me, self._seeds, Random(self.rng.getrandbits(62)), self.now)
+        self.ranks[number] = Ranks(me.name, self.configured, number, self.now)
         self.at(self.now + self.rng.random() * TICK_MS, lambda: self._tick(number, life))
+        self.at(self.now + self.rng.random() * COUNT_MS, lambda: self._count(number, life))
 
     def kill(self, numbers: Iterable[int]) -> None:
         for number in numbers:
             self.members.pop(number, None)
+            self.ranks.pop(number, None)
             self.stopped.discard(number)
             self._inbox.pop(number, None)
 
@@ -95,10 +105,10 @@
     def is_settled(self) -> bool:
         """Every live member holds just the live ones, and all digests are the same."""
         truth = self.truth()
-        views = [{(one.name, one.life) for one in member.live()} for member in self.members.values()]
-        return (
-            all(view == truth for view in views) and len({m.digest.whole for m in self.members.values()}) == 1
-        )
+        if len({member.digest.whole for member in self.members.values()}) != 1:
+            return False
+        views = ({(one.name, one.life) for one in member.live()} for member in self.members.values())
+        return all(view == truth for view in views)
 
     def _tick(self, number: int, life: int) -> None:
         member = self.members.get(number)
@@ -109,6 +119,24 @@
             self._note(number, member)
         self.at(self.now + TICK_MS, lambda: self._tick(number, life))
 
+    def _count(self, number: int, life: int) -> None:
+        member = self.members.get(number)
+        if member is None or self._lives[number] != life:
+            return
+        if number not in self.stopped and not member.is_duplicate:
+            slow = member.doubt * 2 >= DOUBT_MOST
+            ranks = self.ranks[number]
+            told = ranks.observe(self.now, member.lives, member.met_at, member.differed_at, slow)
+            if told is not None:
+                self.sizes.append((self.now, number, told))
+        self.at(self.now + COUNT_MS, lambda: self._count(number, life))
+
+    def are_placed(self) -> bool:
+        """Every live member has a place of its own, and counts right."""
+        told = [ranks.told for ranks in self.ranks.values()]
+        everyone = set(range(len(self.members)))
+        return {one.ordinal for one in told} == everyone and {one.count for one in told} == {len(told)}
+
     def _note(self, number: int, member: Membership) -> None:
         for change in member.changes:
             if change.standing.name == "DEAD":
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -13,6 +13,7 @@
 
 from larkcrank.config.sidecar import Config, ConfigError
 from larkcrank.core.balancer import Balancer
+from larkcrank.core.interface import FleetSize
 from larkcrank.program import handover, kept
 from larkcrank.program.clock import Clock
 from larkcrank.program.counters import Counters
@@ -210,7 +211,10 @@
 
         zones, zone = config.site.zones, config.site.decisions.zone
         named = zones[zone] if zone < len(zones) else str(zone)
-        self._speaker = Speaker(config.fleet, config.name, named, self._clock, self.log)
+        decisions = config.site.decisions
+        configured = FleetSize(decisions.instances, decisions.ordinal, decisions.instances)
+        feed = self._driver.feed
+        self._speaker = Speaker(config.fleet, config.name, named, configured, self._clock, self.log, feed)
         self._joining = asyncio.get_running_loop().create_task(self._start_speaker(self._speaker))
 
     async def _start_speaker(self, speaker: "Speaker") -> None:
