A search over worlds of members: drawn by seed, or every one of three members and bounded faults

Change: lab/worlds.py plays random worlds and, exhaustively, all of three members with one or two spells (one killed, restarted or nobody, then 13 ways of cutting), many side by side; lab/settling.py tells times to settle, cost and wrong deaths by size; members starved of CPU. Each of the invariants has a planted bug that the bounded search finds.

--- a/larkcrank/command/main.py
+++ b/larkcrank/command/main.py
@@ -13,6 +13,7 @@
 from larkcrank.config import sidecar
 
 BAD_INPUT = 2
+PROGRESS_WORLDS = 500
 VIEW_S = 5.0
 
 
@@ -135,6 +136,40 @@
         click.echo(f"| {name} | {one.p50_us:.0f} | {one.p99_us:.0f} | {one.cpu_us:.0f} |")
 
 
+@fleet.command("hunt")
+@click.option("--seeds", type=click.IntRange(0), default=1000, help="Worlds drawn from a seed.")
+@click.option("--first", type=click.IntRange(0), default=0, help="The first seed.")
+@click.option("--depth", type=click.IntRange(0, 3), default=1, help="Spells of the bounded worlds; 0: none.")
+@click.option("--jobs", type=click.IntRange(0), default=0, help="Side by side; 0: as many as processors.")
+def fleet_hunt(seeds: int, first: int, depth: int, jobs: int) -> None:
+    """Search worlds in virtual time for one in which the view does not settle. Exit code 1: found."""
+    from larkcrank.lab import worlds
+
+    log, done, findings = _log(), 0, 0
+    for done, found in worlds.hunt(range(first, first + seeds), depth, jobs):
+        findings += len(found)
+        for one in found:
+            log.error("finding", world=one.world, what=one.what)
+        if done % PROGRESS_WORLDS == 0:
+            log.info("progress", played=done, found=findings)
+    click.echo(f"{done} worlds, {findings} findings")
+    sys.exit(1 if findings else 0)
+
+
+@fleet.command("settling")
+@click.option("--members", type=click.IntRange(2), multiple=True, default=(10, 100), help="Sizes.")
+@click.option("--seed", type=int, default=1)
+def fleet_settling(members: tuple[int, ...], seed: int) -> None:
+    """How long the view takes to settle and what it costs, by size, in virtual time."""
+    from larkcrank.lab import settling
+
+    click.echo("| members | what | figure | |\n| --- | --- | --- | --- |")
+    for count in members:
+        for part in (settling.settling, settling.cost, settling.wrong_deaths):
+            for row in part(count, seed):
+                click.echo(f"| {row.members} | {row.what} | {row.figure:.2f} | {row.unit} |")
+
+
 @fleet.command("view")
 @click.argument("place")
 def fleet_view(place: str) -> None:
--- a/larkcrank/lab/virtual.py
+++ b/larkcrank/lab/virtual.py
@@ -14,6 +14,7 @@
 from larkcrank.fleet.records import Record
 from larkcrank.fleet.wire import Codec, DatagramError
 
+STARVED_ON_MS, STARVED_OFF_MS = 1000.0, 3000.0  # most that a starved member runs and stands
 COUNT_MS = 1000.0  # between a member's looks at how many there are
 
 
@@ -73,6 +74,18 @@
             for place, data in self._inbox.pop(number, []):
                 self._arrive(number, place, data)
 
+    def starve(self, numbers: Iterable[int]) -> None:
+        """From now on these get the CPU for moments only: they stand up to 3 s, and go on up to 1 s."""
+        for number in numbers:
+            self._starve(number, self._lives[number], stands=False)
+
+    def _starve(self, number: int, life: int, stands: bool) -> None:
+        if self._lives[number] != life or number not in self.members:
+            return
+        (self.go_on if stands else self.stop)([number])
+        wait = self.rng.random() * (STARVED_ON_MS if stands else STARVED_OFF_MS)
+        self.at(self.now + wait, lambda: self._starve(number, life, not stands))
+
     def leave(self, number: int) -> None:
         self._send(number, self.members[number].leave(self.now))
         self.kill([number])
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -1,7 +1,8 @@
 """The view of the fleet in virtual time: it settles after every kind of trouble; datagrams are bounded."""
 
-from collections.abc import Callable
+import math
 from random import Random
+from typing import Any
 
 import msgspec
 import pytest
@@ -13,6 +14,7 @@
 from larkcrank.fleet.membership import Membership
 from larkcrank.fleet.records import BUCKETS, Digest, Record, Standing
 from larkcrank.fleet.wire import Ack, Codec, DatagramError, Message, Once, Page, Ping, size_of
+from larkcrank.lab import worlds
 from larkcrank.lab.virtual import World
 from tests.frames import CONFIG
 
@@ -338,75 +340,66 @@
     assert many_bytes < 500 and many_bytes < few_bytes * 1.2
 
 
-def random_trouble(seed: int) -> World:
-    """Faults of all kinds, alone and together, then quiet."""
-    rng = Random(seed)
-    count = rng.randint(3, 14)
-    world = World(count, seed, seeds=rng.randint(1, 3), delay_ms=rng.choice([1.0, 5.0, 300.0]))
-    assert world.settle(QUIET_MS) is not None
-    for _ in range(rng.randint(1, 6)):
-        who = rng.sample(range(count), rng.randint(1, max(1, count // 2)))
-        some = set(who)
-        ways: list[Callable[[int, int], bool]] = [
-            lambda a, b, s=some: (a in s) != (b in s),  # type: ignore[misc]
-            lambda a, b, s=some: a in s and b not in s,  # type: ignore[misc]
-            lambda a, b, s=some: {a, b} <= s,  # type: ignore[misc]
-            lambda a, b: False,
-        ]
-        match rng.choice(["kill", "start", "stop", "cut", "lose", "leave", "go on"]):
-            case "kill":
-                world.kill(who)
-            case "start":
-                world.kill(who)
-                for number in who:
-                    world.start(number)
-            case "stop":
-                world.stop(who)
-            case "cut":
-                world.cut = rng.choice(ways)
-            case "lose":
-                world.loss = rng.choice([0.0, 0.1, 0.3])
-            case "leave" if who[0] in world.members and who[0] not in world.stopped:
-                world.leave(who[0])
-            case "go on":
-                world.go_on(list(world.stopped))
-        world.run(rng.choice([500.0, 3_000.0, 20_000.0, 60_000.0]))
-    world.cut = lambda a, b: False
-    world.loss = 0.0
-    world.go_on(list(world.stopped))
-    return world
-
-
 @pytest.mark.parametrize("block", range(4))
 def test_after_quiet_every_view_is_the_truth(block: int) -> None:
     for seed in range(block * 10, block * 10 + 10):
-        world = random_trouble(seed)
-        assert world.settle(QUIET_MS) is not None, seed
+        assert worlds.play_seed(seed) is None
+
+
+def test_every_world_of_three_members_and_one_spell() -> None:
+    """Killed, restarted or nobody; then alone, dumb, deaf, a pair apart. Two spells: `fleet hunt`."""
+    played = [worlds.play_steps(steps) for steps in worlds.every(1)]
+    assert len(played) == 91 and not any(played)
+
+
+def _never(self: Any) -> float:
+    return math.inf
+
+
+def _falls_back(self: Membership, me: Record) -> None:
+    me = msgspec.structs.replace(me, incarnation=2 if self.me.incarnation < 2 else 1)
+    self._hold(self.me, me)
+    self.me = me
 
 
 @pytest.mark.parametrize(
-    "planted", ["no refutation", "the dead are not looked for", "no comparison", "no rank"]
+    ("planted", "what"),
+    [
+        ("no refutation", "not settled"),
+        ("the dead are not looked for", "not settled"),
+        ("the silent are never dead", "not settled"),
+        ("no rank", "went back"),
+        ("a refutation goes back", "went back"),
+    ],
 )
-def test_the_same_search_finds_planted_bugs(planted: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    """What the search looks for is what each part is there for: without the part it finds something."""
+def test_the_same_search_finds_planted_bugs(planted: str, what: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A live member that stays dead, a dead one that stays, a record or an incarnation that goes back."""
     match planted:
         case "no refutation":
             monkeypatch.setattr(Membership, "_about_me", lambda self, record: None)
         case "the dead are not looked for":
             monkeypatch.setattr(Membership, "_look_for_lost", lambda self: [])
-        case "no comparison":
-            monkeypatch.setattr(Membership, "_compare", lambda self: [])
+        case "the silent are never dead":
+            monkeypatch.setattr(membership._Suspicion, "ends_at", _never)
         case "no rank":
             monkeypatch.setattr(Record, "outranks", lambda self, other: True)
-    found = False
-    for seed in range(200, 230):
-        try:
-            found = random_trouble(seed).settle(60_000.0) is None
-        except AssertionError:
-            found = True
-        if found:
-            break
-    assert found
+        case "a refutation goes back":
+            monkeypatch.setattr(Membership, "_become", _falls_back)
+    monkeypatch.setattr(worlds, "QUIET_MS", 60_000.0)
+    found = (worlds.play_steps(steps) for steps in worlds.every(1))
+    assert any(one is not None and what in one.what for one in found)
+
+
+def test_the_search_finds_what_news_and_pages_are_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Membership, "_compare", lambda self: [])
+    monkeypatch.setattr(worlds, "QUIET_MS", 60_000.0)
+    assert any(worlds.play_seed(seed) is not None for seed in range(200, 240))
+
+
+def test_a_hunt_plays_all_side_by_side() -> None:
+    played = list(worlds.hunt(range(6), depth=0, jobs=2))
+    assert [done for done, _ in played] == list(range(1, 7))
+    assert not any(found for _, found in played)
 
 
 @settings(max_examples=30, deadline=None)
