Fleet bench: members that come later, with parts of their own; convergence in the chart

Need: scale-outs, two processes with one name, a member on another version of the protocol and how views converge could not be played or seen.

--- a/larkcrank/fleet/speaker.py
+++ b/larkcrank/fleet/speaker.py
@@ -33,6 +33,8 @@
     refused: dict[str, int] = field(default_factory=dict)  # by reason
     deaths: int = 0  # members that this one has seen die
     moves: int = 0  # times that this one's place among its fellows changed
+    size: int = 0  # members that it counts on
+    place: int = 0  # its own among them
 
 
 class Speaker(asyncio.DatagramProtocol):
@@ -139,6 +141,7 @@
         slow = membership.doubt * 2 >= DOUBT_MOST
         told = ranks.observe(now, membership.lives, membership.met_at, membership.differed_at, slow)
         self.counters.moves = ranks.moves
+        self.counters.size, self.counters.place = ranks.told.count, ranks.told.ordinal
         if told is not None:
             doubt = ranks.doubt.value
             self._log.event("fleet_size", count=told.count, place=told.ordinal, most=told.most, doubt=doubt)
--- a/larkcrank/lab/bench.py
+++ b/larkcrank/lab/bench.py
@@ -7,6 +7,7 @@
 import socket
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from random import Random
@@ -25,7 +26,7 @@
 from larkcrank.lab.links import DatagramRelay, Link, Way, datagram_relays
 from larkcrank.lab.processes import Child, ProcessError
 from larkcrank.lab.registry import Registry
-from larkcrank.lab.scenario import LINK_WORDS, FaultLine, Scenario, Settle, members
+from larkcrank.lab.scenario import LINK_WORDS, FaultLine, Own, Scenario, Settle, members
 from larkcrank.lab.settings import SETTINGS, merged
 
 Node = tuple[str, int]
@@ -44,6 +45,7 @@
     at: float
     call: str
     took: float  # seconds; infinite: not within its bound
+    course: list[tuple[float, float]] = []  # when, and the share of those asked who agreed then
 
 
 class Use(msgspec.Struct, frozen=True):
@@ -124,7 +126,7 @@
                 known = self._registry.whole(child.index) if scenario.discovery.known else None
                 await self._start(child, known)
 
-        await self._all([start(child) for child in self._children])
+        await self._all([start(child) for child in self._children[: scenario.fleet.at_first or None]])
         ready_s = loop.time() - began
         self._restart_clock()
         cpu = sum(child.usage()[1] for child in self._children)
@@ -186,7 +188,8 @@
             )
             self._endpoints.append(endpoint)
         for index in range(scenario.fleet.processes):
-            self._children.append(Child(index, self._folder, scenario.fleet.command, self._ledger.event))
+            command = next((own.command for own in self._own(index) if own.command), scenario.fleet.command)
+            self._children.append(Child(index, self._folder, command, self._ledger.event))
             self._link(index, ("discovery", 0), lambda c, i=index: self._registry.accept(c, i))  # type: ignore[misc]
             for endpoint in self._endpoints:
                 self._link(
@@ -250,7 +253,14 @@
             names |= {f"seed{i}": "{}:{}".format(*one.place) for i, one in enumerate(self._relays[:SEEDS])}
             names["all"] = ",".join("{}:{}".format(*relay.place) for relay in self._relays)
         more = {key: value for key, value in fleet.config.items() if key != "settings"}
-        return merged(config, _filled(more, names))
+        config = merged(config, _filled(more, names))
+        for own in self._own(index):
+            config = merged(config, _filled(own.config, names))
+        return config
+
+    def _own(self, index: int) -> list[Own]:
+        owns = self._scenario.fleet.own
+        return [own for own in owns if index in members(own.who, self._scenario)["sidecars"]]
 
     async def _start(self, child: Child, known: dict[str, Any] | None) -> None:
         await child.start(self._config(child, known))
@@ -302,18 +312,24 @@
     async def _settle(self, settle: Settle) -> None:
         await self._until(settle.at)
         waiting = set(members(settle.who, self._scenario)["sidecars"])
+        everyone, course = len(waiting), list[tuple[float, float]]()
         while waiting and self._ledger.now() - settle.at < settle.within:
             ordered = sorted(waiting)
             saying = await asyncio.gather(*(self._says(self._children[i], settle) for i in ordered))
-            heads = {" ".join(said.split()[: settle.alike]) for said in saying}
+            heads = Counter(" ".join(said.split()[: settle.alike]) for said in saying if said)
+            agree = max(heads.values(), default=0) if settle.alike else sum(heads.values())
             if not settle.alike:
                 waiting -= {index for index, said in zip(ordered, saying, strict=True) if said}
-            elif all(saying) and len(heads) == 1:
+                agree = everyone - len(waiting)
+            elif agree == everyone:
                 waiting.clear()
+            share = agree / everyone
+            if not course or course[-1][1] != share:
+                course.append((self._ledger.now(), share))
             if waiting:
                 await asyncio.sleep(POLL_S)
         took = math.inf if waiting else self._ledger.now() - settle.at
-        self._settled.append(Settled(settle.at, settle.counter or settle.call, took))
+        self._settled.append(Settled(settle.at, settle.counter or settle.call, took, course))
 
     async def _says(self, child: Child, settle: Settle) -> str:
         """What it says if that is what was waited for; empty if not."""
@@ -321,10 +337,10 @@
             said = await child.call(settle.call)
             return said if said.startswith(settle.answer) else ""
         try:
-            found = (await child.ask_counters()).get(settle.counter)
+            found = _flat(await child.ask_counters()).get(settle.counter)
         except TimeoutError:
             return ""
-        return str(found) if isinstance(found, int) and found >= settle.least else ""
+        return str(found) if found is not None and found >= settle.least else ""
 
     # Faults
 
@@ -516,9 +532,8 @@
                 continue  # it stands still, or is very busy
             if isinstance(told, BaseException):
                 raise told
-            for key, value in told.items():
-                if isinstance(value, int):
-                    total[key] = total.get(key, 0) + value
+            for key, value in _flat(told).items():
+                total[key] = total.get(key, 0) + value
         return total
 
     async def _close(self) -> None:
@@ -534,6 +549,15 @@
                 relay.transport.close()
 
 
+def _flat(told: dict[str, Any]) -> dict[str, int]:
+    """The whole numbers of what a process counted; those of a part under `part.name`."""
+    found = {key: value for key, value in told.items() if type(value) is int}
+    for part, inner in told.items():
+        if isinstance(inner, dict):
+            found |= {f"{part}.{key}": value for key, value in _flat(inner).items()}
+    return found
+
+
 def _free_datagram_port() -> tuple[str, int]:
     """A port that was free just now: what is to bind it is told it at once."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
--- a/larkcrank/lab/processes.py
+++ b/larkcrank/lab/processes.py
@@ -56,7 +56,9 @@
         self.lines: deque[str] = deque(maxlen=LAST_LINES)
         self.started_s = 0.0  # from its start until it was ready, its last life
         self._folder, self._event = folder, event
-        self._command = command or [sys.executable, "-m", "larkcrank"]
+        # `python` is the interpreter that the bench itself runs on.
+        command = command or ["python", "-m", "larkcrank"]
+        self._command = [sys.executable if part == "python" else part for part in command]
         self._process: asyncio.subprocess.Process | None = None
         self._reader: asyncio.Task[None] | None = None
         self._told: dict[str, asyncio.Future[dict[str, Any]]] = {}
--- a/larkcrank/lab/report.py
+++ b/larkcrank/lab/report.py
@@ -204,6 +204,12 @@
     for result in results:
         spots = [(second + 0.5, share) for second, share in enumerate(result.seconds) if share >= 0.0]
         axes.plot(*zip(*spots, strict=True), linewidth=1.2, label=f"seed {result.seed}")
+    for number, settled in enumerate(one for result in results for one in result.settled):
+        ends = [*settled.course, *([(settled.at + settled.took, 1.0)] if settled.took >= 0.0 else [])]
+        label = "members that agree" if not number else None
+        axes.step(
+            *zip(*ends, strict=True), where="post", color="0.4", linestyle="--", linewidth=0.9, label=label
+        )
     for index, (at, what, who) in enumerate(results[0].faults):
         axes.axvline(at, color="0.6", linestyle=":", linewidth=1.0)
         axes.text(at, 0.02 + 0.07 * (index % 6), f" {what} {who}", fontsize=7, color="0.3", clip_on=True)
--- a/larkcrank/lab/scenario.py
+++ b/larkcrank/lab/scenario.py
@@ -36,9 +36,18 @@
     """A key that is not known is a fault of the file."""
 
 
+class Own(_Strict):
+    """What some processes have of their own."""
+
+    who: list[str]
+    config: dict[str, Any] = {}  # merged last; its texts as the fleet's
+    command: list[str] = []
+
+
 class Fleet(_Strict):
     processes: int
     command: list[str] = []  # what is started as each process; left out: this program
+    at_first: int = 0  # so many run from the start, the others once they are restarted; 0: all
     zones: list[str] = msgspec.field(default_factory=lambda: ["here"])  # members take them in turn
     datagrams: bool = False  # whether each member has an address for datagrams; see `config`
     # Merged into each process's configuration. In its texts {i} is the member's number, {own} where it binds
@@ -46,6 +55,7 @@
     # {seed0} to {seed2} those of the first three.
     config: dict[str, Any] = {}
     settings: dict[str, Any] = {}  # merged into its settings
+    own: list[Own] = []
 
 
 class Endpoints(_Strict):
@@ -192,6 +202,11 @@
 def _check(found: Scenario) -> None:
     _least("seconds", found.seconds, 0.1)
     _least("fleet.processes", found.fleet.processes, 1)
+    _least("fleet.at_first", found.fleet.at_first, 0)
+    if found.fleet.at_first > found.fleet.processes:
+        raise ValueError(f"fleet.at_first: {found.fleet.at_first} is over {found.fleet.processes} processes")
+    for index, own in enumerate(found.fleet.own):
+        _group(f"fleet.own[{index}].who", own.who, found, ("sidecars",))
     _least("fleet.zones", len(found.fleet.zones), 1)
     _least("grace_ms", found.grace_ms, 0.0)
     _least("slack_ms", found.slack_ms, 0.0)
--- a/tests/test_fleet_program.py
+++ b/tests/test_fleet_program.py
@@ -8,7 +8,7 @@
 
 from larkcrank.command.main import main
 from larkcrank.lab import bench
-from larkcrank.lab.scenario import Endpoints, FaultLine, Fleet, Load, Scenario, Settle
+from larkcrank.lab.scenario import Endpoints, FaultLine, Fleet, Load, Own, Scenario, Settle
 from tests import bed as b
 from tests.frames import CONFIG
 from tests.test_program import event, started
@@ -51,6 +51,62 @@
     assert played.breaches == [] and played.ledger.datagrams > 100
 
 
+def test_two_with_one_name_and_a_later_version_disturb_nobody() -> None:
+    """Three members, a fourth process with the third's name, one that speaks what nobody here can read."""
+    settle: dict[str, Any] = {"call": "VIEW", "alike": 5, "within": 60.0, "who": ["sidecars:0-1"]}
+    one = Scenario(
+        name="names",
+        seconds=25.0,
+        fleet=Fleet(
+            processes=5,
+            datagrams=True,
+            config={"fleet": FLEET | {"secret": "s"}},
+            settings={"bounds": {"peers": True}},
+            own=[
+                Own(who=["sidecars:3"], config={"name": "n2"}),
+                Own(who=["sidecars:4"], command=["python", "-m", "larkcrank.lab.stranger"]),
+            ],
+        ),
+        endpoints=Endpoints(count=2, service_ms=5.0),
+        load=Load(rate=2.0, classes={"look": 1.0}),
+        settles=[
+            Settle(at=15.0, answer="200 live 3 ", **settle),
+            Settle(at=15.0, counter="fleet.refused.other_version", within=60.0, who=["sidecars:0-1"]),
+        ],
+        slack_ms=15000.0,
+    )
+    played = bench.play(one, lambda text: None)
+    assert all(settled.took < 60.0 for settled in played.settled)
+    assert played.counters["fleet.deaths"] == 0 and played.breaches == []
+
+
+def test_parts_follow_a_scale_out() -> None:
+    """Two are configured and run; four more come: each is told six, and a place of its own."""
+    one = Scenario(
+        name="more",
+        seconds=20.0,
+        fleet=Fleet(
+            processes=6,
+            at_first=2,
+            datagrams=True,
+            config={"fleet": FLEET, "settings": {"n-instances": 2}},
+            settings={"bounds": {"peers": True}},
+        ),
+        endpoints=Endpoints(count=8, service_ms=5.0),
+        load=Load(rate=2.0, classes={"look": 1.0}),
+        faults=[FaultLine(at=1.0, what="restart", who=["sidecars:2-5"])],
+        settles=[
+            Settle(at=1.0, call="VIEW", answer="200 live 6 ", alike=5),
+            Settle(at=1.0, counter="fleet.size", least=6),
+        ],
+        slack_ms=15000.0,
+    )
+    played = bench.play(one, lambda text: None)
+    assert all(settled.took < 60.0 for settled in played.settled) and played.breaches == []
+    assert played.counters["fleet.size"] == 36 and played.counters["fleet.place"] == 15
+    assert max(share for _, share in played.settled[0].course) <= 1.0
+
+
 def test_off_where_sidecars_may_not_talk_and_where_it_is_not_configured(tmp_path: Path) -> None:
     async def play() -> None:
         endpoint = b.Endpoint("e")
