--- a/larkcrank/config/sidecar.py
+++ b/larkcrank/config/sidecar.py
@@ -27,12 +27,18 @@
     body_mb: float = MAX_BODY / (1 << 20)
 
 
+class _Recovery(msgspec.Struct):
+    same_places: bool = False
+    snapshot: str = ""
+
+
 class _Fleet(msgspec.Struct):
     name: str
     listen: str
     secret: str = ""
     public: str = ""
-    seeds: list[str] = []
+    seeds: list[str] | str = []  # or in one text, with commas
+    recovery: _Recovery | None = None
 
 
 class _File(msgspec.Struct):
@@ -48,6 +54,14 @@
     fleet: _Fleet | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class RecoveryConfig:
+    """How a member goes on after a loss with what its fellows know."""
+
+    same_places: bool  # a server's host:port is the same for all members
+    snapshot: str  # path of the file for what it knew, on a disk that lasts; empty: none
+
+
 @dataclass(slots=True, frozen=True)
 class FleetConfig:
     """What a member of a fleet is told."""
@@ -57,6 +71,7 @@
     secret: str
     public: str  # host:port at which others reach it; empty: where it listens
     seeds: tuple[str, ...]  # host:port of members to begin with
+    recovery: RecoveryConfig | None  # None: lists are nobody's but one's own
 
 
 @dataclass(slots=True, frozen=True)
@@ -156,8 +171,12 @@
     if not told.name:
         raise ConfigError("fleet.name: empty")
     public = told.public and "{}:{}".format(*_place("fleet.public", told.public))
-    seeds = tuple("{}:{}".format(*_place(f"fleet.seeds[{i}]", seed)) for i, seed in enumerate(told.seeds))
-    return FleetConfig(told.name, _place("fleet.listen", told.listen, lowest=0), told.secret, public, seeds)
+    named = told.seeds.split(",") if isinstance(told.seeds, str) else told.seeds
+    seeds = tuple("{}:{}".format(*_place(f"fleet.seeds[{i}]", seed.strip())) for i, seed in enumerate(named))
+    listen = _place("fleet.listen", told.listen, lowest=0)
+    wanted = told.recovery
+    recovery = None if wanted is None else RecoveryConfig(wanted.same_places, wanted.snapshot)
+    return FleetConfig(told.name, listen, told.secret, public, seeds, recovery)
 
 
 def _descriptor(text: str) -> int | None:
--- /dev/null
+++ b/larkcrank/fleet/asking.py
@@ -0,0 +1,66 @@
+"""Who asks discovery while nobody knows what it holds: a few, in turns; the others have it from them. No I/O.
+
+Times are milliseconds on the caller's clock.
+"""
+
+import math
+from collections.abc import Collection
+from hashlib import blake2b
+
+TURN_MS = 2000.0  # one asks at a time; after so long it is the next one's turn, dead, cut off or failing
+WATCHERS = 2  # so many watch as soon as a list is known ...
+WATCHERS_SHARE = 0.1  # ... or this share of the fleet
+CALM_MS = 30_000.0  # the others watch again after so long ...
+EACH_MS = 150.0  # ... spread by so much a member
+ALONE_MS = 5000.0  # who has met nobody by then asks as if it were alone
+KNOWN_MS = 20_000.0  # a list that discovery told to a fellow so lately needs no call of ours
+
+
+def turn_of(name: str) -> bytes:
+    return blake2b(name.encode(), digest_size=8, person=b"asking").digest()
+
+
+class Asking:
+    """One member's leave to call discovery. In ordinary times everyone has it."""
+
+    def __init__(self, name: str, count: int, ordinal: int, now: float, draw: float) -> None:
+        """`count` and `ordinal` as configured: they count until others are met. `draw` is from 0 to 1."""
+        self.is_over = False  # the recovery, for this member
+        self._name, self._count, self._ordinal = name, max(count, 1), ordinal
+        self._began, self._draw = now, draw
+        self._known_at = math.inf
+        self._failed_turn = -1  # one call a turn
+
+    def failed(self, now: float) -> None:
+        """A call failed: discovery is down, or we are cut off from it. Everyone's next call goes by turns."""
+        if self.is_over:
+            self.is_over, self._began, self._known_at = False, now, math.inf
+        self._failed_turn = self._turn(now)
+
+    def heard(self) -> None:
+        """Discovery itself has answered us."""
+        self.is_over = True
+
+    def may(self, now: float, live: Collection[str], told_at: float) -> bool:
+        """Whether to call now. `told_at`: when discovery told the list held to whoever had it first."""
+        if self.is_over:
+            return True
+        if self._turn(now) == self._failed_turn:
+            return False
+        met = len(live) > 1
+        if not met and now >= self._began + ALONE_MS:
+            return True
+        place, count = self._place(live) if met else (self._ordinal % self._count, self._count)
+        if now < told_at + KNOWN_MS:
+            self._known_at = min(self._known_at, now)
+        if self._known_at < math.inf:
+            watchers = max(WATCHERS, math.ceil(WATCHERS_SHARE * count))
+            return place < watchers or now >= self._known_at + CALM_MS + self._draw * EACH_MS * count
+        return self._turn(now) % count == place
+
+    def _turn(self, now: float) -> int:
+        return int((now - self._began) / TURN_MS)
+
+    def _place(self, live: Collection[str]) -> tuple[int, int]:
+        mine = turn_of(self._name)
+        return sum(turn_of(other) < mine for other in live), len(live)
--- a/larkcrank/fleet/membership.py
+++ b/larkcrank/fleet/membership.py
@@ -11,7 +11,7 @@
 
 import math
 from collections import Counter, deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -25,13 +25,17 @@
     Ack,
     Ask,
     Differ,
+    Have,
+    ListMessage,
     Message,
     Nack,
     Once,
     Page,
+    Piece,
     Ping,
     Reply,
     Summary,
+    Want,
     size_of,
 )
 
@@ -39,6 +43,7 @@
 PERIOD_MS = 1000.0  # one probe in each
 DIRECT_SHARE = 0.5  # of a period that a probe may take before others are asked
 NACK_SHARE = 0.8  # of that time after which one who was asked says that it is there
+FIRST_MS = 300.0  # spread of the first probe: others are met soon, and not all at one moment
 ASKED = 3  # others that are asked
 SUSPECT_MIN = 5.0  # periods, times log10 of the fleet's size
 SUSPECT_MAX = 4.0  # times that, while nobody agrees
@@ -132,7 +137,7 @@
         self._seeds = [seed for seed in seeds if seed != me.place]
         self._rng, self._now = rng, now
         self._tick_at = now
-        self._period_at = now + rng.random() * PERIOD_MS
+        self._period_at = now + rng.random() * FIRST_MS
         self._ask_at = math.inf
         self._round: list[str] = []  # who is probed next, in random order
         self._probe: _Probe | None = None
@@ -153,6 +158,8 @@
         self._number = 0
         self._count = 0
         self.replayed = 0
+        # What is told of server lists, once it is plain that the datagram counts.
+        self.on_list: Callable[[float, str, ListMessage], list[Out]] = lambda now, place, message: []
 
     # What the owner reads
 
@@ -195,7 +202,7 @@
                 mine = [one & 0xFFFFFFFF for one in self.digest.buckets]
                 differ = [i for i, (a, b) in enumerate(zip(mine, message.buckets, strict=False)) if a != b]
                 if differ:
-                    out.append(Out(place, Differ(*self._head(sender.name), differ)))
+                    out.append(Out(place, Differ(*self.head(sender.name), differ)))
             case Differ() if sender.name == self._compared:
                 self._compared = ""
                 wanted = [bucket for bucket in message.buckets if 0 <= bucket < BUCKETS]
@@ -205,6 +212,8 @@
                 out += self._next_pages()
             case Page():
                 out.append(Out(place, self._reply(sender.name, message)))
+            case Have() | Want() | Piece():
+                out += self.on_list(now, place, message)
             case Reply():
                 self._learn(message.records)
                 self._pages_out = max(self._pages_out - 1, 0)
@@ -259,7 +268,7 @@
         (self._compared, place), self._differs = self._differs, None
         self._sync_at = self._now + PERIOD_MS
         buckets = [one & 0xFFFFFFFF for one in self.digest.buckets]
-        return [Out(place, Summary(*self._head(self._compared), buckets))]
+        return [Out(place, Summary(*self.head(self._compared), buckets))]
 
     # Probes
 
@@ -305,7 +314,7 @@
         return [
             Out(
                 one.place,
-                Ask(*self._head(one.name), probe.number, target.name, target.place, self._news_for(one.name)),
+                Ask(*self.head(one.name), probe.number, target.name, target.place, self._news_for(one.name)),
             )
             for one in asked
         ]
@@ -319,14 +328,14 @@
             message.number, asker, place, self._now + NACK_SHARE * wait, self._now + 4 * PERIOD_MS
         )
         # No longer than the question, also here: it goes where the asker says.
-        return [Out(message.place, Ping(*self._head(message.target), self._number, [], b""))]
+        return [Out(message.place, Ping(*self.head(message.target), self._number, [], b""))]
 
     def _relays_due(self) -> list[Out]:
         out = []
         for number, relay in list(self._relays.items()):
             if self._now >= relay.nack_at:
                 relay.nack_at = math.inf
-                out.append(Out(relay.place, Nack(*self._head(relay.asker), relay.number)))
+                out.append(Out(relay.place, Nack(*self.head(relay.asker), relay.number)))
             if self._now >= relay.ends_at:
                 del self._relays[number]
         return out
@@ -339,7 +348,7 @@
         relay = self._relays.pop(number, None)
         if relay is None:
             return []
-        return [Out(relay.place, Ack(*self._head(relay.asker), relay.number, []))]
+        return [Out(relay.place, Ack(*self.head(relay.asker), relay.number, []))]
 
     def _look_for_lost(self) -> list[Out]:
         """One of the dead, or of the seeds that are not live here: partitions heal from either side."""
@@ -473,7 +482,8 @@
 
     # Datagrams
 
-    def _head(self, to: str) -> tuple[Record, str, int, int]:
+    def head(self, to: str) -> tuple[Record, str, int, int]:
+        """What every message to a member begins with."""
         self._count += 1
         return self.me, to, self._count, self.digest.whole
 
@@ -482,12 +492,12 @@
             self._number += 1
             number = self._number
         room = bytes(size_of(self.me) + ROOM_BYTES)
-        return Out(place, Ping(*self._head(name), number, self._news_for(name), room))
+        return Out(place, Ping(*self.head(name), number, self._news_for(name), room))
 
     def _ack(self, place: str, ping: Ping) -> Out:
         name = ping.sender.name
         room = size_of(ping) - size_of(self.me) - ROOM_BYTES
-        return Out(place, Ack(*self._head(name), ping.number, self._news_for(name, ping.sender, room)))
+        return Out(place, Ack(*self.head(name), ping.number, self._news_for(name, ping.sender, room)))
 
     def _news_for(self, name: str, sender: Record | None = None, room: int = NEWS_BYTES) -> list[Record]:
         """What was told least often first; before all, what we think of the other: it can refute."""
@@ -531,7 +541,7 @@
             self._pages_out += 1
             if upto:
                 self._pages.append((name, place, bucket, upto))
-            out.append(Out(place, Page(*self._head(name), bucket, after, upto, records, bytes(max(room, 0)))))
+            out.append(Out(place, Page(*self.head(name), bucket, after, upto, records, bytes(max(room, 0)))))
         return out
 
     def _reply(self, name: str, page: Page) -> Reply:
@@ -548,4 +558,4 @@
                     break
                 records.append(record)
         self._learn(page.records)
-        return Reply(*self._head(name), page.bucket, upto, records)
+        return Reply(*self.head(name), page.bucket, upto, records)
--- a/larkcrank/fleet/speaker.py
+++ b/larkcrank/fleet/speaker.py
@@ -49,18 +49,27 @@
         clock: Callable[[], float],
         log: Journal,
         on_size: Callable[[FleetSize], None],
+        joined: Callable[[Membership, float], None],
+        step: Callable[[float], list[Out]],
     ) -> None:
+        """`joined` is told the membership before its first step; `step` is called after each one."""
         self.counters = FleetCounters()
         self._config, self._name, self._zone = config, name, zone
         self._configured, self._on_size = configured, on_size
+        self._joined, self._step = joined, step
         self._clock, self._log = clock, log
         self._count_at = 0.0
+        self._more_seeds: list[str] = []
         self.ranks: Ranks | None = None
         self._codec = Codec(config.name, config.secret)
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self.membership: Membership | None = None
 
+    def more_seeds(self, places: list[str]) -> None:
+        """Where fellows were before, for the case that no seed answers."""
+        self._more_seeds = places
+
     async def start(self) -> None:
         """Raises OSError where the address can't be had."""
         loop = asyncio.get_running_loop()
@@ -70,8 +79,11 @@
         place = self._config.public or f"{host}:{port}"
         now = self._clock()
         me = Record(self._name, place, self._zone, secrets.randbits(LIFE_BITS), 1, started_ms=now)
-        self.membership = Membership(me, self._config.seeds, Random(secrets.randbits(64)), now)
+        self.membership = Membership(
+            me, [*self._config.seeds, *self._more_seeds], Random(secrets.randbits(64)), now
+        )
         self.ranks = Ranks(self._name, self._configured.count, self._configured.ordinal, now)
+        self._joined(self.membership, now)
         self._log.event("fleet_joining", fleet=self._config.name, place=place, seeds=len(self._config.seeds))
         self._tick()
 
@@ -117,7 +129,9 @@
         except DatagramError as refused:
             self.counters.refused[refused.why] = self.counters.refused.get(refused.why, 0) + 1
             return
-        self._send(self.membership.receive(self._clock(), f"{addr[0]}:{addr[1]}", message))
+        now = self._clock()
+        self._send(self.membership.receive(now, f"{addr[0]}:{addr[1]}", message))
+        self._send(self._step(now))
         self.counters.replayed = self.membership.replayed
         self._tell()
 
@@ -127,7 +141,9 @@
     def _tick(self) -> None:
         assert self.membership is not None
         self._timer = asyncio.get_running_loop().call_later(TICK_MS / 1000.0, self._tick)
-        self._send(self.membership.tick(self._clock()))
+        now = self._clock()
+        self._send(self.membership.tick(now))
+        self._send(self._step(now))
         self._tell()
         self._count()
 
--- a/larkcrank/fleet/wire.py
+++ b/larkcrank/fleet/wire.py
@@ -11,7 +11,7 @@
 
 from larkcrank.fleet.records import Record
 
-VERSION = 1
+VERSION = 2
 MOST_BYTES = 1200
 SEAL_BYTES = 16
 WINDOW = 64  # datagrams of one sender that may overtake each other
@@ -78,7 +78,55 @@
     records: list[Record]
 
 
-Message = Ping | Ack | Ask | Nack | Summary | Differ | Page | Reply
+class Line(msgspec.Struct, frozen=True, array_like=True):
+    """A server as discovery tells it."""
+
+    name: str
+    state: int  # as `core.interface.State` has it
+    zone: str
+    kind: str
+    cell: int
+    size: float
+    started_ms: float
+    place: str  # host:port as the teller reaches it
+
+
+class Have(_Body, tag=9, frozen=True):
+    """Which server list the sender holds, and how it has it."""
+
+    epoch: int  # times that discovery began its count anew
+    generation: int
+    age_ms: float  # since discovery told this list to whoever had it first; below 0: from before a restart
+    mark: int  # of its lines
+    direct: int  # the generation that discovery itself told the sender last, -1: none
+    direct_ms: float  # how long ago that was
+    up_ms: float  # since the sender's process began
+    room: bytes  # the answer is another one of these, and no longer
+
+
+class Want(_Body, tag=10, frozen=True):
+    """Tell me the lines of that list behind this name; padded, as no answer is longer than it."""
+
+    epoch: int
+    generation: int
+    after: str
+    room: bytes
+
+
+class Piece(_Body, tag=11, frozen=True):
+    """Lines of a list in the order of their names."""
+
+    epoch: int
+    generation: int
+    mark: int
+    age_ms: float
+    after: str
+    upto: str  # empty: to the end
+    lines: list[Line]
+
+
+Message = Ping | Ack | Ask | Nack | Summary | Differ | Page | Reply | Have | Want | Piece
+ListMessage = Have | Want | Piece
 
 
 class DatagramError(Exception):
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -6,14 +6,12 @@
 import socket
 import tempfile
 from collections.abc import Callable
-from dataclasses import asdict
 from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING, Any
 
 from larkcrank.config.sidecar import Config, ConfigError
 from larkcrank.core.balancer import Balancer
-from larkcrank.core.interface import FleetSize
 from larkcrank.program import handover, kept
 from larkcrank.program.clock import Clock
 from larkcrank.program.counters import Counters
@@ -32,7 +30,7 @@
 from larkcrank.transport.pool import Pool
 
 if TYPE_CHECKING:
-    from larkcrank.fleet.speaker import Speaker
+    from larkcrank.program.together import Together
 
 ACCEPT_ON_S = 0.55  # after SIGTERM new connections go on coming for up to 0.4 s
 LEAVE_IDLE_S = 0.4  # and clients go on using those that they have
@@ -113,8 +111,7 @@
             operators = Operators(self.life, self.descriptors, self._called, log.failure, self._view)
             self._operators = Listener(config.ops, self.descriptors, operators.accept, Use.OPERATOR)
         self._sending_away: asyncio.Task[None] | None = None
-        self._speaker: Speaker | None = None
-        self._joining: asyncio.Task[None] | None = None
+        self._together = self._make_together()
         self._always_watch = not site.decisions.must_ask
         self._known = config.known
         self._known_count = 0
@@ -196,35 +193,27 @@
         if self.life.phase is not Phase.STARTING:
             self._join()
 
-    def _join(self) -> None:
-        """Begin to keep a view of the fleet, where one is configured and the platform lets sidecars talk.
-
-        Two processes of one sidecar are one member: the first speaks until it is gone.
-        """
+    def _make_together(self) -> "Together | None":
+        """The fleet's part, where one is configured and the platform lets sidecars talk."""
         config = self._config
-        if config.fleet is None or self._joining is not None or self._others[0]:
-            return
+        if config.fleet is None:
+            return None
         if not config.site.may_talk:
             self.log.event("fleet_off", reason="settings.bounds.peers is false: sidecars may not talk")
-            return
-        from larkcrank.fleet.speaker import Speaker  # a plain sidecar's start does not pay for it
+            return None
+        from larkcrank.program.together import Together  # a plain sidecar's start does not pay for it
 
-        zones, zone = config.site.zones, config.site.decisions.zone
-        named = zones[zone] if zone < len(zones) else str(zone)
-        decisions = config.site.decisions
-        configured = FleetSize(decisions.instances, decisions.ordinal, decisions.instances)
-        feed = self._driver.feed
-        self._speaker = Speaker(config.fleet, config.name, named, configured, self._clock, self.log, feed)
-        self._joining = asyncio.get_running_loop().create_task(self._start_speaker(self._speaker))
+        rng = Random(self._rng.getrandbits(64))
+        return Together(config, self._names, self._clock, self.log, self._driver, rng)
 
-    async def _start_speaker(self, speaker: "Speaker") -> None:
-        try:
-            await speaker.start()
-        except OSError as error:  # it serves all the same
-            self.log.event("fleet_off", reason=str(error))
+    def _join(self) -> None:
+        """Two processes of one sidecar are one member: the first speaks until it is gone."""
+        if self._together is not None and not self._others[0]:
+            self._together.attach(self._discovery)
+            self._together.start()
 
     def _view(self) -> str | None:
-        return None if self._speaker is None else self._speaker.view()
+        return None if self._together is None else self._together.view()
 
     def start(self) -> None:
         """Serve from now on, by the list as last held until discovery answers."""
@@ -235,6 +224,8 @@
 
     def _learn_list(self, handed: handover.Handed | None) -> None:
         known: Listing | None = None
+        if self._together is not None and self._predecessor is None:  # beside one it asks for itself
+            self._together.attach(self._discovery)
         if handed is not None:
             self._balancer.take_over(handed.learnt)
             self._names.zones[:], self._names.kinds[:] = handed.zones, handed.kinds
@@ -245,6 +236,9 @@
         else:
             self._take_up(self._config.kept)
             known = self._discovery.start_from(self._known) if self._known else None
+            if self._together is not None:
+                known = self._together.known(known)
+                self._discovery.go_on_from(known.generation if known is not None else None)
         if known is None:
             known = Listing(0, True, ())
         # Also where none is known: the balancer sets its timer, by which it asks, on its first event.
@@ -325,7 +319,7 @@
         self._discovery.move(new.discovery)
 
     def show_counters(self) -> None:
-        more = {} if self._speaker is None else {"fleet": asdict(self._speaker.counters)}
+        more = {} if self._together is None else self._together.counters()
         self.log.event("counters", **self.counters.shown(), **more)
 
     async def run(self) -> None:
@@ -359,11 +353,9 @@
 
     def close(self) -> None:
         """Give back what a sidecar holds besides its clients' connections."""
-        for listener in (self._listener, self._operators, self._speaker):
+        for listener in (self._listener, self._operators, self._together):
             if listener is not None:
                 listener.close()
-        if self._joining is not None:
-            self._joining.cancel()
         if self._sending_away is not None:
             self._sending_away.cancel()
         for other in (self._predecessor, self._successors):
@@ -375,8 +367,8 @@
     async def wind_down(self) -> None:
         """Serve on while clients still come, then answer what was taken, then go."""
         self.log.event("winding_down", connections=self.clients.open)
-        if self._speaker is not None and not self._others[1]:  # else this member goes on in the successor
-            self._speaker.leave()
+        if self._together is not None and not self._others[1]:  # else this member goes on in the successor
+            self._together.leave()
         loop = asyncio.get_running_loop()
         began = loop.time()
         longest = max(cls.deadline_ms for cls in self._config.site.decisions.classes)
--- a/larkcrank/routing/discovery.py
+++ b/larkcrank/routing/discovery.py
@@ -17,6 +17,7 @@
 FETCH_TIMEOUT_MS = 6000.0
 AGAIN_S = (0.5, 8.0)  # between watches that fail, where nobody else decides when to ask
 MAX_LIST = 4 << 20
+GATE_S = 0.1  # between looks whether a call may be made
 
 
 class Tally(Protocol):
@@ -56,6 +57,8 @@
         self._closed = False
         self.on_list: Callable[[Listing], None] = lambda _: None
         self.on_failure: Callable[[str], None] = lambda _: None
+        # Whether to call now; where one is set, it alone says when: a failed watch waits for its next turn.
+        self.gate: Callable[[], bool] | None = None
 
     def start_from(self, text: bytes) -> Listing | None:
         """The list as last held; None where there is none that can be read."""
@@ -86,6 +89,8 @@
             self._watch = asyncio.get_running_loop().create_task(self._keep_watching())
 
     def fetch(self) -> None:
+        if self.gate is not None and not self.gate():
+            return  # all doubt their lists after a loss: those whose turn it is ask for the others
         if not self._closed and (self._fetch is None or self._fetch.done()):
             self._fetch = asyncio.get_running_loop().create_task(self._fetch_once())
 
@@ -117,8 +122,12 @@
         wait_s = AGAIN_S[0]
         try:
             while True:
+                while self.gate is not None and not self.gate():
+                    await asyncio.sleep(GATE_S)
                 if await self._ask(line, WATCH_MS):
                     wait_s = AGAIN_S[0]
+                elif self.gate is not None:
+                    await asyncio.sleep(AGAIN_S[0])
                 elif not self._always:
                     return
                 else:
