--- a/larkcrank/fleet/asking.py
+++ b/larkcrank/fleet/asking.py
@@ -5,6 +5,7 @@
 
 import math
 from collections.abc import Collection
+from functools import lru_cache
 from hashlib import blake2b
 
 TURN_MS = 2000.0  # one asks at a time; after so long it is the next one's turn, dead, cut off or failing
@@ -16,6 +17,7 @@
 KNOWN_MS = 20_000.0  # a list that discovery told to a fellow so lately needs no call of ours
 
 
+@lru_cache(maxsize=4096)
 def turn_of(name: str) -> bytes:
     return blake2b(name.encode(), digest_size=8, person=b"asking").digest()
 
--- a/larkcrank/fleet/lists.py
+++ b/larkcrank/fleet/lists.py
@@ -19,7 +19,7 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from hashlib import blake2b
 from random import Random
 
@@ -37,7 +37,9 @@
 GONE_MS = 600_000.0  # a server that went is remembered for so long ...
 GONE_MOST = 1024  # ... and so many are
 SAID_MOST = 16  # lists that fellows were heard to hold
-WANT_MS = 500.0  # without a piece the list is wanted from another
+WANT_MS = 200.0  # without a piece it is wanted once more ...
+WANTS = 8  # ... so often; then whoever tells us next is asked
+DOUBT_MS = 300.0  # while one fellow is not believed, others are asked what they hold so often
 LINES_MOST = 4096  # of a list that is taken from fellows
 PIECE_BYTES = MOST_BYTES - SEAL_BYTES - 1 - 60
 HALF = 0.5
@@ -71,7 +73,8 @@
     key: tuple[int, int, int]  # epoch, generation, mark
     asked_at: float
     told_at: float
-    lines: list[Line]
+    tries: int = 0
+    lines: list[Line] = field(default_factory=list)
 
 
 def mark_of(lines: Iterable[Line], with_places: bool) -> int:
@@ -106,10 +109,12 @@
         self._said: dict[tuple[int, int, int], dict[str, float]] = {}  # list: who holds it, heard when
         self._reports: dict[str, tuple[int, float]] = {}  # what discovery told a fellow, and when
         self._partial: tuple[tuple[int, int, int], Told] | None = None  # taken but for what it takes away
+        self._sure = self._held, self._mark  # the list before that, which others are told of meanwhile
         self._ready: Told | None = None
-        self._news: list[Out] = []
+        self._is_news = False
         self._fetch: _Fetch | None = None
         self._tell_at = now
+        self._asks_until = -math.inf  # a second fellow's word is looked for
         fellows.on_list = self.receive
 
     # What the owner reads
@@ -173,7 +178,7 @@
         self._partial = self._fetch = self._lower = self._lower_since = None
         self._hold(before | named, shared | named, _Held(epoch, generation, now))
         if newer:
-            self._tell_new()
+            self._is_news = True
         return kept
 
     def receive(self, now: float, place: str, message: ListMessage) -> list[Out]:
@@ -191,13 +196,21 @@
         self._now = now
         out: list[Out] = []
         if self._fetch is not None and now >= self._fetch.asked_at + WANT_MS:
-            self._fetch = None  # whoever tells us next is asked
-        if now >= self._tell_at:
+            self._fetch.tries += 1
+            if self._fetch.tries < WANTS:
+                out.append(self._want(self._fetch.lines[-1].name if self._fetch.lines else ""))
+            else:
+                self._fetch = None
+        if (self._partial is not None or now < self._asks_until) and now >= self._tell_at:
+            self._tell_at = now + DOUBT_MS
+            out += self._tell(TELL_NEW)
+        elif now >= self._tell_at:
             self._tell_at = now + TELL_MS
             out += self._tell(1)
             self._clear_out()
-        out += self._news
-        self._news = []
+        if self._is_news:  # made only now: a process that stood still would tell an age of before
+            self._is_news = False
+            out += self._tell(TELL_NEW)
         return out
 
     def result(self, now: float) -> Told | None:
@@ -215,7 +228,7 @@
         if self._lower is not None and self._is_anew():
             (generation, lines), self._lower, self._lower_since = self._lower, None, None
             self._hold(lines, lines, _Held(self._held.epoch + 1, generation, self._direct_at))
-            self._tell_new()
+            self._is_news = True
             return Told(generation, tuple(self.lines.values()), "")
         return None
 
@@ -238,17 +251,20 @@
             return []
         if theirs < mine:
             out = self._have_message(name)
+            if self._key(out.age_ms, out.epoch, out.generation) <= theirs:
+                return []  # two that each hold one in part told each other of what they had before, for ever
             room = size_of(message) - size_of(out) + len(out.room)
             return [Out(place, msgspec.structs.replace(out, room=bytes(max(room, 0))))] if room >= 0 else []
         if theirs == mine or self._fetch is not None:
             return []  # the same generation with other lines is settled by discovery, not between us
         if message.epoch > self._held.epoch and self._held.generation >= 0 and not self._may_be_anew(key):
             self._refuse("epoch")
+            self._asks_until = self._now + TELL_MS
             return []
         if message.age_ms > TRUST_MS:
             self._refuse("old")
             return []
-        self._fetch = _Fetch(name, place, key, self._now, told_at, [])
+        self._fetch = _Fetch(name, place, key, self._now, told_at)
         return [self._want("")]
 
     def _may_be_anew(self, key: tuple[int, int, int]) -> bool:
@@ -296,6 +312,7 @@
         if message.after != after or len(fetch.lines) + len(message.lines) > LINES_MOST:
             return []
         fetch.lines += message.lines
+        fetch.tries = 0
         if message.upto:
             if not message.lines:
                 self._fetch = None
@@ -325,6 +342,7 @@
         self._partial = None
         if len(ready - stay) > HALF * len(ready) and not self._agreed(fetch.key):
             self._refuse("alone")
+            self._sure = self._held, self._mark
             self._partial = fetch.key, told
             kept = {name: line for name, line in self.lines.items() if name in ready - stay}
             told = Told(generation, tuple({**theirs, **kept}.values()), fetch.name)
@@ -334,7 +352,7 @@
         shared = {line.name: line for line in fetch.lines}
         self._hold(mine, shared, _Held(epoch, generation, fetch.told_at))
         self._ready = told
-        self._tell_new()
+        self._is_news = True
 
     # What is held
 
@@ -405,9 +423,6 @@
 
     # What is told
 
-    def _tell_new(self) -> None:
-        self._news += self._tell(TELL_NEW)
-
     def _tell(self, count: int) -> list[Out]:
         if self._held.generation < 0 and not self._others():
             return []
@@ -417,7 +432,10 @@
 
     def _have_message(self, name: str) -> Have:
         direct = self._now - self._direct_at if self._direct >= 0 else 0.0
-        head = *self._fellows.head(name), self._held.epoch, self._held.generation, self._age(), self._mark
+        # One that is taken but in part is not told: who holds it, or a newer one, answers, and that decides.
+        held, mark = (self._held, self._mark) if self._partial is None else self._sure
+        age = self._now - held.told_at
+        head = *self._fellows.head(name), held.epoch, held.generation, age if age <= TRUST_MS else -1.0, mark
         return Have(*head, self._direct, direct, self._now - self._began, bytes(24))
 
     def _age(self) -> float:
--- a/larkcrank/lab/bench.py
+++ b/larkcrank/lab/bench.py
@@ -33,6 +33,7 @@
 LAG_BEAT_S = 0.02
 STARTS_AT_ONCE = 8  # processes that start side by side: a crowded machine makes all of them late
 POLL_S = 0.05
+EVERYONE = -1  # the near end of a link that all processes share
 SEEDS = 3  # the first members, which others may be told to begin with
 MOST_DESCRIPTORS = 1 << 16
 
@@ -191,12 +192,11 @@
             command = next((own.command for own in self._own(index) if own.command), scenario.fleet.command)
             self._children.append(Child(index, self._folder, command, self._ledger.event))
             self._link(index, ("discovery", 0), lambda c, i=index: self._registry.accept(c, i))  # type: ignore[misc]
+            near = self._near(index)
             for endpoint in self._endpoints:
-                self._link(
-                    index,
-                    ("endpoints", endpoint.index),
-                    lambda c, i=index, e=endpoint: e.accept(c, i),  # type: ignore[misc]
-                )
+                far = ("endpoints", endpoint.index)
+                if (near, far) not in self._links:
+                    self._link(near, far, lambda c, i=near, e=endpoint: e.accept(c, i))  # type: ignore[misc]
             child = self._children[-1]
             rng = Random(self._rng.getrandbits(64))
             place = lambda child=child: child.place  # noqa: E731
@@ -211,13 +211,20 @@
         up, down = self._way(near, far), self._way(far, near)
         self._links[sidecar, far] = Link(up, down, connect, self._ledger.now)
 
+    def _near(self, sidecar: int) -> int:
+        """The near end of a sidecar's links to endpoints."""
+        return EVERYONE if self._scenario.endpoints.shared else sidecar
+
+    def _links_to(self, endpoint: int) -> list[Link]:
+        return [link for (_, far), link in self._links.items() if far == ("endpoints", endpoint)]
+
     def _way(self, source: Node, to: Node) -> Way:
         if (source, to) not in self._ways:
             self._ways[source, to] = Way(Random(self._rng.getrandbits(64)))
         return self._ways[source, to]
 
     def _port(self, sidecar: int, endpoint: int, place: int) -> int:
-        return self._links[sidecar, ("endpoints", endpoint)].ports[place]
+        return self._links[self._near(sidecar), ("endpoints", endpoint)].ports[place]
 
     def _restart_clock(self) -> None:
         """The load begins at nought; what was told at the starts belongs to before it."""
@@ -362,7 +369,10 @@
     def _pairs(self, fault: FaultLine) -> list[tuple[Node, Node]]:
         if fault.what == "silence":
             far = [("endpoints", i) for i in members(fault.who, self._scenario)["endpoints"]]
-            near = [("sidecars", i) for i in range(self._scenario.fleet.processes)]
+            near = [
+                ("sidecars", i)
+                for i in sorted({self._near(i) for i in range(self._scenario.fleet.processes)})
+            ]
             sides = [near, far]
         else:
             sides = []
@@ -370,6 +380,8 @@
                 named = members(side, self._scenario)
                 sides.append([(kind, index) for kind in named for index in sorted(named[kind])])
         pairs = [(one, other) for one in sides[0] for other in sides[1] if one != other]
+        if self._scenario.endpoints.shared:
+            pairs = list(dict.fromkeys((_shared(*pair), _shared(*pair[::-1])) for pair in pairs))
         if not fault.one_way:
             pairs += [(other, one) for one, other in pairs]
         return pairs
@@ -505,17 +517,15 @@
         self._ledger.event("draining", endpoint.name)
 
     def _move(self, endpoint: Endpoint) -> None:
-        for sidecar in range(self._scenario.fleet.processes):
-            self._links[sidecar, ("endpoints", endpoint.index)].move()
+        for link in self._links_to(endpoint.index):
+            link.move()
         endpoint.place += 1
 
     def _stood(self, endpoint: Endpoint) -> None:
         """An endpoint went down or came up: its links refuse or listen."""
-        for sidecar in range(self._scenario.fleet.processes):
-            link = self._links.get((sidecar, ("endpoints", endpoint.index)))
-            if link is not None:
-                link.far_up = endpoint.up
-                link.follow()
+        for link in self._links_to(endpoint.index):
+            link.far_up = endpoint.up
+            link.follow()
 
     def _follow_discovery(self) -> None:
         for sidecar in range(self._scenario.fleet.processes):
@@ -549,6 +559,11 @@
                 relay.transport.close()
 
 
+def _shared(one: Node, other: Node) -> Node:
+    """A sidecar's end of a link to an endpoint that all share."""
+    return ("sidecars", EVERYONE) if one[0] == "sidecars" and other[0] == "endpoints" else one
+
+
 def _flat(told: dict[str, Any]) -> dict[str, int]:
     """The whole numbers of what a process counted; those of a part under `part.name`."""
     found = {key: value for key, value in told.items() if type(value) is int}
--- a/larkcrank/lab/endpoints.py
+++ b/larkcrank/lab/endpoints.py
@@ -215,7 +215,10 @@
         number = (request.fields.one(b"req-id") or b"").decode("latin-1")
         kind = request.target.lstrip(b"/").partition(b"/")[0].decode("latin-1")
         cls = endpoint._classes.get(kind)
-        attempt = Attempt(number, self._sidecar, endpoint.name, self._entered_at, ledger.now())
+        sidecar, told = self._sidecar, number.partition("-")[0]
+        if sidecar < 0 and told.isdecimal():  # a link that all share: the request's id tells whose it is
+            sidecar = int(told)
+        attempt = Attempt(number, sidecar, endpoint.name, self._entered_at, ledger.now())
         attempt.new_connection = self._is_new
         ledger.attempts.append(attempt)
         self._open.append(attempt)
--- a/larkcrank/lab/scenario.py
+++ b/larkcrank/lab/scenario.py
@@ -60,6 +60,7 @@
 
 class Endpoints(_Strict):
     count: int
+    shared: bool = False  # one address for all processes: one link, so no faults between some of them
     workers: int = 4  # requests worked on at once
     service_ms: float = 30.0  # mean work
     spread: Literal["fixed", "exponential"] = "fixed"
@@ -257,6 +258,12 @@
             raise ValueError(f"{key}.between: {fault.what!r} needs two groups")
         kinds = [("sidecars",), ("endpoints",)] if fault.what == "hide" else [KINDS, KINDS]
         sides = [_group(f"{key}.between[{n}]", fault.between[n], found, kinds[n]) for n in (0, 1)]
+        some = any(one["endpoints"] for one in sides) and fault.what != "hide"
+        whole = set(range(found.fleet.processes))
+        if found.endpoints.shared and some and not any(one["sidecars"] == whole for one in sides):
+            raise ValueError(
+                f"{key}.between: endpoints.shared: no link leads from some of the sidecars alone"
+            )
         if not any(one["sidecars"] for one in sides):
             raise ValueError(f"{key}.between: no link leads from {fault.between[0]} to {fault.between[1]}")
         return
