--- a/larkcrank/lab/bench.py
+++ b/larkcrank/lab/bench.py
@@ -253,7 +253,7 @@
         }
         if known is not None:
             config["known"] = known
-        names = {"i": str(index)}
+        names = {"i": str(index), "files": str(child.kept)}
         if self._relays:
             names["own"] = "{}:{}".format(*(self._relays[index].member or ()))
             names["public"] = "{}:{}".format(*self._relays[index].place)
@@ -486,7 +486,8 @@
         if fault.what == "restart":
             known = self._known.get(child.index) if fault.keeps == "list" else None
             if fault.keeps == "nothing":
-                child.kept.unlink(missing_ok=True)
+                for path in [child.kept, *self._folder.glob(f"{child.kept.name}.*")]:
+                    path.unlink(missing_ok=True)
             await self._start(child, known)
 
     async def _stand(self, endpoint: Endpoint, fault: FaultLine) -> None:
--- a/larkcrank/lab/scenario.py
+++ b/larkcrank/lab/scenario.py
@@ -52,6 +52,7 @@
     datagrams: bool = False  # whether each member has an address for datagrams; see `config`
     # Merged into each process's configuration. In its texts {i} is the member's number, {own} where it binds
     # its socket for datagrams, {public} where others reach it, {all} the public addresses, with commas,
+    # {files} what the names of files that it keeps begin with,
     # {seed0} to {seed2} those of the first three.
     config: dict[str, Any] = {}
     settings: dict[str, Any] = {}  # merged into its settings
@@ -102,7 +103,7 @@
     times: float = 0.0
     work_ms: float = 0.0
     by: float = 0.0
-    keeps: Literal["list", "nothing"] = "list"
+    keeps: Literal["list", "files", "nothing"] = "list"  # a list in its configuration and files; files
     address: Literal["same", "new"] = "same"
     spread: float = 0.0  # seconds over which those named follow each other
 
