Recovery: what is trusted, in code and on one page; the operators' page after a power loss

Need: what a restarted member goes by was spread over modules and stood nowhere. Change: fleet/trust.py, one row a kind of state, from which the modules take their ages; docs/fleet-recovery.md with the same table (a test holds them together), the restarts told apart, order of service, what to do and what not.

--- a/larkcrank/fleet/lists.py
+++ b/larkcrank/fleet/lists.py
@@ -26,15 +26,16 @@
 import msgspec
 
 from larkcrank.core.interface import State
+from larkcrank.fleet import trust
 from larkcrank.fleet.membership import Membership, Out
 from larkcrank.fleet.wire import MOST_BYTES, SEAL_BYTES, Have, Line, ListMessage, Piece, Want, size_of
 
 TELL_MS = 1000.0  # between two tellings of what one holds, to one member
 TELL_NEW = 3  # members that are told at once of a newer list
-TRUST_MS = 600_000.0  # since discovery told a list: a fellow's is taken for so long
+TRUST_MS = trust.LIST.fellows_ms  # since discovery told a list: a fellow's is taken for so long
 FRESH_MS = 20_000.0  # discovery's own word of so long ago still says how it counts
 ANEW_MS = 30_000.0  # it is alone in hearing discovery, and that goes on counting lower: it began anew
-GONE_MS = 600_000.0  # a server that went is remembered for so long ...
+GONE_MS = trust.GONE.before_ms  # a server that went is remembered for so long ...
 GONE_MOST = 1024  # ... and so many are
 SAID_MOST = 16  # lists that fellows were heard to hold
 WANT_MS = 200.0  # without a piece it is wanted once more ...
--- a/larkcrank/fleet/snapshot.py
+++ b/larkcrank/fleet/snapshot.py
@@ -12,13 +12,14 @@
 
 import msgspec
 
+from larkcrank.fleet import trust
 from larkcrank.fleet.wire import Line
 
 FORMAT = "larkcrank-fleet"
 VERSION = 1
 MOST_BYTES = 4 << 20
 FUTURE_MS = 60_000.0  # a clock that was set back by so little is forgiven
-LIST_MS = 7 * 24 * 3600 * 1000.0  # an older list names servers that are others by now
+LIST_MS = trust.LIST.before_ms  # an older list names servers that are others by now
 FELLOWS_MOST = 256
 
 
--- a/tests/test_fleet_lists.py
+++ b/tests/test_fleet_lists.py
@@ -10,13 +10,14 @@
 
 from larkcrank.core.interface import State
 from larkcrank.fleet import lists as module
-from larkcrank.fleet import wire
+from larkcrank.fleet import trust, wire
 from larkcrank.fleet.asking import CALM_MS, TURN_MS, Asking
 from larkcrank.fleet.lists import ANEW_MS, TRUST_MS, Lists, Told, mark_of
 from larkcrank.fleet.membership import Membership, Out
 from larkcrank.fleet.records import Record
 from larkcrank.fleet.restart import Restart, which
 from larkcrank.fleet.wire import Codec, Have, Line, Piece, Want, size_of
+from tests.test_program import ROOT
 
 
 def line(name: str, state: State = State.READY, started: float = 0.0, place: str = "") -> Line:
@@ -317,6 +318,13 @@
     assert mark_of(some, False) == mark_of(other, False) and mark_of(some, True) != mark_of(other, True)
 
 
+def test_the_page_shows_what_is_trusted() -> None:
+    page = (ROOT / "docs/fleet-recovery.md").read_text()
+    for row in trust.TABLE:
+        ages = f"{trust.shown(row.before_ms)} | {trust.shown(row.fellows_ms)}"
+        assert f"| {row.state} | {ages} | {row.why} | {row.wrong} |" in page
+
+
 # Whose turn it is to call discovery
 
 
