--- a/larkcrank/fleet/lists.py
+++ b/larkcrank/fleet/lists.py
@@ -9,6 +9,7 @@
 - A list that takes away more than half of the ready servers needs two fellows that had it from discovery
   itself; until then the servers of both count, and failing ones are found out by their answers.
 - A list whose age is over TRUST_MS is not taken, nor told as anything but one from before.
+- An empty list is not taken from fellows at all.
 - That discovery began its count anew is believed when two members heard so from it and nobody heard otherwise
   of late.
 - Places are one's own, unless the operator says that they are the same for all. Without, a server that one
@@ -256,6 +257,9 @@
                 return []  # two that each hold one in part told each other of what they had before, for ever
             room = size_of(message) - size_of(out) + len(out.room)
             return [Out(place, msgspec.structs.replace(out, room=bytes(max(room, 0))))] if room >= 0 else []
+        if message.mark == 0 and self.lines:
+            self._refuse("empty")
+            return []
         if theirs == mine or self._fetch is not None:
             return []  # the same generation with other lines is settled by discovery, not between us
         if message.epoch > self._held.epoch and self._held.generation >= 0 and not self._may_be_anew(key):
--- a/larkcrank/lab/bench.py
+++ b/larkcrank/lab/bench.py
@@ -414,6 +414,10 @@
                 return self._set_registry(attribute, True, False)
             case "drag":
                 return self._set_registry("work_ms", fault.work_ms, registry.work_ms)
+            case "empty":
+                return self._set_registry("empty", True, False)
+            case "anew":
+                self._registry.anew()
             case "lag":
                 return self._set_registry("behind_s", fault.by, registry.behind_s)
             case "hide":
--- a/larkcrank/lab/registry.py
+++ b/larkcrank/lab/registry.py
@@ -36,6 +36,7 @@
         self.up = True
         self.silent = self.denies = False
         self.behind_s = 0.0
+        self.empty = False  # it has started without its list, and tells none
         self.hidden: dict[int, set[int]] = {}  # by sidecar: endpoints that it is not told of
         self.unix_at_nought = began
         self._port, self._ledger = port, ledger
@@ -75,12 +76,21 @@
     def start(self) -> None:
         self.up = True
 
+    def anew(self) -> None:
+        """It counts its generations from 1 again, as one that lost all and was told it once more."""
+        last = {line["instanceId"]: line for _, line in self._log}
+        now = self._ledger.now()
+        self._log = [(now, line) for line in last.values() if line["lifecycle"] != "Gone"]
+        self.wake()
+
     def shift(self, seconds: float) -> None:
         """The run's clock was set back by so much."""
         self._log = [(at - seconds, line) for at, line in self._log]
 
     def shown(self) -> int:
         """The generation that callers are shown."""
+        if self.empty:
+            return 0
         until = self._ledger.now() - self.behind_s
         return sum(at <= until for at, _ in self._log) if self.behind_s else len(self._log)
 
@@ -129,6 +139,8 @@
             after = 0
         else:
             after = int(watch[1])
+            if after > len(self._log) or self.empty:  # of before it began anew: told everything
+                after, whole = -1 if after else 0, True
             until = self._ledger.now() + int(watch[2]) / 1000.0
             while self.up and self.shown() <= after and (left := until - self._ledger.now()) > 0.0:
                 changed = self._changed
@@ -141,7 +153,7 @@
         if self.denies:
             return None
         until_generation = self.shown()
-        lines = self.lines(sidecar, after, until_generation)
+        lines = self.lines(sidecar, max(after, 0), until_generation)
         told = {"generation": until_generation, "reset": whole, "instances": lines}
         states = {line["instanceId"]: line["lifecycle"] for line in lines}
         return Answer(msgspec.json.encode(told), until_generation, Told(0.0, sidecar, whole, states))
--- a/larkcrank/lab/scenario.py
+++ b/larkcrank/lab/scenario.py
@@ -13,7 +13,7 @@
 LINK_WORDS = ("cut", "refuse", "slow", "lose", "duplicate", "reorder", "narrow")
 PROCESS_WORDS = ("kill", "stop", "continue", "end", "restart")
 ENDPOINT_WORDS = ("silence", "crowd", "drain", "replace")
-DISCOVERY_WORDS = ("hush", "deny", "drag", "lag", "hide")
+DISCOVERY_WORDS = ("hush", "deny", "drag", "lag", "hide", "empty", "anew")
 WORDS = LINK_WORDS + PROCESS_WORDS + ENDPOINT_WORDS + DISCOVERY_WORDS
 KINDS = ("sidecars", "endpoints", "discovery")
 _NEEDS = {  # what a word takes besides whom it names, and whether it can be left out
--- a/tests/test_fleet_lists.py
+++ b/tests/test_fleet_lists.py
@@ -124,6 +124,19 @@
     assert all(fleet.names(index) == ["a"] for index in range(5))
 
 
+def test_an_empty_list_is_only_discoverys_to_tell() -> None:
+    """It came back without what it knew, and told so to two: they obey, the others serve on."""
+    fleet = begun(6)
+    for index in (0, 1):
+        fleet.hear(index, [], 11)
+    fleet.run(5000.0)
+    assert [len(fleet.names(index)) for index in range(6)] == [0, 0, 4, 4, 4, 4]
+    for index in (0, 1):
+        fleet.hear(index, lines("a", "b", "c", "e"), 12)
+    fleet.run(3000.0)
+    assert all(fleet.names(index) == ["a", "b", "c", "e"] for index in range(6))
+
+
 def test_one_fellow_can_take_away_a_few_and_add_some() -> None:
     fleet = begun(5)
     fleet.hear(0, lines("b", "c", "d", "e"), 11)
