--- a/larkcrank/fleet/membership.py
+++ b/larkcrank/fleet/membership.py
@@ -290,9 +290,7 @@
 
     def _end_probe(self) -> None:
         probe, self._probe = self._probe, None
-        if probe is None:
-            return
-        if probe.answered:
+        if probe is None or probe.answered:  # who has nobody to ask hears nothing bad of itself either
             self.doubt = max(self.doubt - 1, 0)
             return
         self.doubt = min(
--- a/larkcrank/lab/bench.py
+++ b/larkcrank/lab/bench.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import math
+import os
 import resource
+import shutil
 import signal
 import socket
 import tempfile
@@ -33,6 +35,7 @@
 LAG_BEAT_S = 0.02
 STARTS_AT_ONCE = 8  # processes that start side by side: a crowded machine makes all of them late
 POLL_S = 0.05
+FOLDER = "larkcrank-fleet-"  # in the temporary directory, then the bench's own process id
 EVERYONE = -1  # the near end of a link that all processes share
 SEEDS = 3  # the first members, which others may be told to begin with
 MOST_DESCRIPTORS = 1 << 16
@@ -624,9 +627,18 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
 
 
+def _sweep() -> None:
+    """Take away what benches that were killed outright have left: folders whose owner lives no more."""
+    for folder in Path(tempfile.gettempdir()).glob(f"{FOLDER}*-*"):
+        owner = folder.name.removeprefix(FOLDER).partition("-")[0]
+        if owner.isdecimal() and not psutil.pid_exists(int(owner)):
+            shutil.rmtree(folder, ignore_errors=True)
+
+
 def play(scenario: Scenario, progress: Callable[[str], None]) -> Played:
     """One run, in an event loop of its own. Raises `ProcessError`, OSError."""
-    with tempfile.TemporaryDirectory(prefix="larkcrank-fleet-") as folder:
+    _sweep()
+    with tempfile.TemporaryDirectory(prefix=f"{FOLDER}{os.getpid()}-") as folder:
 
         async def run() -> Played:
             loop = asyncio.get_running_loop()
--- a/larkcrank/lab/report.py
+++ b/larkcrank/lab/report.py
@@ -63,6 +63,8 @@
     seconds: list[float]  # served share of each second; -1: nobody asked
     faults: list[tuple[float, str, str]]
     counters: dict[str, int]
+    came_back: int = 0  # tries of clients that had been refused
+    came_back_served: float = -1.0  # share of them that were served
 
 
 def aims(scenario: Scenario) -> dict[str, float]:
@@ -93,6 +95,7 @@
         served, asked = share(window.since, window.to, members(window.who, scenario)["sidecars"])
         windows.append(Share(window.name, served, asked, window.at_least))
     served, asked = share(-math.inf, math.inf, everyone)
+    back = [ask for ask in ledger.asks if ask.first != ask.id]
     calls = Counter(int(at) for at, _ in ledger.list_calls)
     unsettled = sum(math.isinf(one.took) for one in played.settled)
     short = [one for one in windows if one.served < one.at_least]
@@ -123,6 +126,8 @@
         [share(second, second + 1, everyone)[0] for second in range(math.ceil(scenario.seconds))],
         [(event.at, event.text, event.who) for event in ledger.events if event.what == "fault"],
         {key: value for key, value in played.counters.items() if isinstance(value, int)},
+        len(back),
+        sum(ask.status == 200 for ask in back) / len(back) if back else -1.0,
     )
 
 
@@ -142,6 +147,8 @@
         "datagrams": float(result.datagrams),
         "breaches": float(len(result.breaches)),
     }
+    if result.came_back:
+        found |= {"came back": float(result.came_back), "served, of those": result.came_back_served}
     found |= {f"served, {one.name}": one.served for one in result.windows}
     for index, one in enumerate(result.settled):
         found[f"settled {index} ({one.call}), s"] = one.took
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -346,6 +346,11 @@
         assert worlds.play_seed(seed) is None
 
 
+def test_who_is_left_alone_counts_itself_alone() -> None:
+    """Seed 90: the last of four doubted itself for ever, with nobody to probe; its count stayed four."""
+    assert worlds.play_seed(90) is None
+
+
 def test_every_world_of_three_members_and_one_spell() -> None:
     """Killed, restarted or nobody; then alone, dumb, deaf, a pair apart. Two spells: `fleet hunt`."""
     played = [worlds.play_steps(steps) for steps in worlds.every(1)]
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+import tempfile
 import time
 from collections import defaultdict
 from collections.abc import Callable
@@ -258,6 +259,9 @@
         until(lambda: not any(child.is_running() and child.status() != "zombie" for child in children))
         assert run.returncode != 0
         assert not list(tmp_path.rglob(report.RESULT))
+        bench._sweep()  # as the next run does
+        left = Path(tempfile.gettempdir()).glob(f"{bench.FOLDER}{run.pid}-*")
+        assert not list(left)
     finally:
         run.kill()
         run.communicate()
