Found by the search: links slower than half a period, and a suspicion that gave a name back

Change: the period follows the answers' own time (RFC 6298's estimate, half a period holds a direct answer, 8 s at most); agreeing is for the very same record.

--- a/larkcrank/fleet/membership.py
+++ b/larkcrank/fleet/membership.py
@@ -40,7 +40,11 @@
 )
 
 TICK_MS = 100.0
-PERIOD_MS = 1000.0  # one probe in each
+PERIOD_MS = 1000.0  # one probe in each; longer where answers take longer ...
+PERIOD_MOST_MS = 8000.0  # ... but not than this
+RTT_WEIGHT, RTT_SPREAD_WEIGHT = 0.125, 0.25  # of one answer's time, and of how far off it was (RFC 6298) ...
+RTT_SPREADS = 4.0  # ... so many of which an answer may take longer than usual
+TIMED_MOST = 16  # probes whose answer is timed, be it late
 DIRECT_SHARE = 0.5  # of a period that a probe may take before others are asked
 NACK_SHARE = 0.8  # of that time after which one who was asked says that it is there
 FIRST_MS = 300.0  # spread of the first probe: others are met soon, and not all at one moment
@@ -141,6 +145,8 @@
         self._ask_at = math.inf
         self._round: list[str] = []  # who is probed next, in random order
         self._probe: _Probe | None = None
+        self._timed: dict[int, float] = {}  # probes of late, and when they were sent
+        self._usual_rtt, self._rtt_spread = -1.0, 0.0  # of answers; below 0: none yet
         self._relays: dict[int, _Relay] = {}
         self._suspicions: dict[str, _Suspicion] = {}
         self._news = News()
@@ -244,7 +250,7 @@
                 out += self._ask_others(probe)
         if now >= self._period_at:
             self._end_probe()
-            self._period_at = now + PERIOD_MS * (1 + self.doubt)
+            self._period_at = now + self._period() * (1 + self.doubt)
             out += self._begin_probe()
             out += self._look_for_lost() + self._hear_suspect()
             self._forget()
@@ -285,9 +291,25 @@
             record = self.members[self._round.pop()]
         self._number += 1
         self._probe = _Probe(record.name, self._number)
-        self._ask_at = self._now + DIRECT_SHARE * PERIOD_MS * (1 + self.doubt)
+        self._ask_at = self._now + DIRECT_SHARE * self._period() * (1 + self.doubt)
+        self._timed[self._number] = self._now
+        if len(self._timed) > TIMED_MOST:
+            del self._timed[next(iter(self._timed))]
         return [self._ping(record.place, record.name, self._number)]
 
+    def _time(self, took: float) -> None:
+        """An answer's time, as TCP measures it. Links of 300 ms made everybody suspect everybody by turns."""
+        if self._usual_rtt < 0.0:
+            self._usual_rtt, self._rtt_spread = took, took / 2
+            return
+        self._rtt_spread += RTT_SPREAD_WEIGHT * (abs(took - self._usual_rtt) - self._rtt_spread)
+        self._usual_rtt += RTT_WEIGHT * (took - self._usual_rtt)
+
+    def _period(self) -> float:
+        """Half of it is time enough for a direct answer."""
+        longest = self._usual_rtt + RTT_SPREADS * self._rtt_spread
+        return min(max(PERIOD_MS, longest / DIRECT_SHARE), PERIOD_MOST_MS)
+
     def _end_probe(self) -> None:
         probe, self._probe = self._probe, None
         if probe is None or probe.answered:  # who has nobody to ask hears nothing bad of itself either
@@ -321,7 +343,7 @@
         if len(self._relays) >= 64:
             return []
         self._number += 1
-        wait = DIRECT_SHARE * PERIOD_MS
+        wait = DIRECT_SHARE * self._period()
         self._relays[self._number] = _Relay(
             message.number, asker, place, self._now + NACK_SHARE * wait, self._now + 4 * PERIOD_MS
         )
@@ -339,6 +361,8 @@
         return out
 
     def _acked(self, name: str, number: int) -> list[Out]:
+        if (sent_at := self._timed.pop(number, None)) is not None:
+            self._time(self._now - sent_at)
         probe = self._probe
         if probe is not None and probe.number == number:
             probe.answered = True
@@ -396,7 +420,8 @@
         known = self.members.get(record.name)
         if known is not None and not record.outranks(known):
             suspicion = self._suspicions.get(record.name)
-            same = record.standing is Standing.SUSPECT and record.incarnation == known.incarnation
+            # Of the same life, too: else a lesser one with as high an incarnation took the name back.
+            same = msgspec.structs.replace(record, by=known.by) == known
             if suspicion is not None and same and suspicion.is_news(record.by):
                 suspicion.by.add(record.by)
                 self._news.put(record.name)  # who agrees is news too
@@ -407,7 +432,7 @@
         self._suspicions.pop(record.name, None)
         self._dead_at.pop(record.name, None)
         if record.standing is Standing.SUSPECT:
-            least = SUSPECT_MIN * PERIOD_MS * max(math.log10(max(len(self.lives), 1)), 1.0)
+            least = SUSPECT_MIN * self._period() * max(math.log10(max(len(self.lives), 1)), 1.0)
             suspicion = _Suspicion(self._now, record.incarnation, least, least * SUSPECT_MAX, set())
             if record.by and record.by != self.me.name:
                 suspicion.by.add(record.by)
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -452,3 +452,10 @@
     for out in outs:
         assert isinstance(out.message, Page)
         assert len(codec.encode(out.message)) <= wire.MOST_BYTES
+
+
+@pytest.mark.parametrize("seed", [103, 266])
+def test_links_of_300_ms_make_nobody_suspect_everybody(seed: int) -> None:
+    """Found by the search: answers took longer than half of a period, so that incarnations never
+    came to rest; and one that agreed with a suspicion of another life took the name back to it (103)."""
+    assert worlds.play_seed(seed) is None
