--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -569,7 +569,7 @@
             server.spared.clear()
             self._settle(attempt, event.result is not Result.RESET or self._thin)  # it tells nothing of speed
             server.fails += 1
-            if server.fails in (DOUBT_FAILS, BENCH_DOUBLINGS):  # the part grows; or it is unlisted, and out
+            if server.fails == BENCH_DOUBLINGS:  # where it is unlisted, it is out
                 self._turns()
             doubtful = sum(one.fails >= DOUBT_FAILS for one in self._ring)
             if doubtful * 2 > len(self._ring) > 1 and now >= self._fetch_at:
@@ -580,8 +580,6 @@
         elif event.result is Result.OK and not stuck:
             self._settle(attempt, False)
             server.fails //= 2
-            if server.fails == DOUBT_FAILS // 2:  # the part shrinks in step: who took more on gives it back
-                self._turns()
             server.spared.pop(attempt.index, None)
             # What is overdue and was overtaken is lost on its connection: the server owes it to nobody.
             server.owes = [one for one in server.owes if not one.missed or one.sent_at > attempt.sent_at]
@@ -666,9 +664,9 @@
         ready.sort(key=lambda server: (cells[server.endpoint.cell], server.mark))
         size = max(round(sharers * total / count), PART_LEAST)
         first, part, warm = self._set.ordinal * total // count, list[Server](), 0
-        while warm < size and len(part) < total:  # cold ones and failing ones come on top: they take nothing
+        while warm < size and len(part) < total:  # cold ones come on top: they take next to nothing
             part.append(ready[(first + len(part)) % total])
-            started, fails = part[-1].endpoint.started_at, part[-1].fails
-            warm += fails < DOUBT_FAILS and (not started or self._now - started >= self._set.warm_after_ms)
+            started = part[-1].endpoint.started_at
+            warm += not started or self._now - started >= self._set.warm_after_ms
         self._sharers = max(max(count, self._set.most) * len(part) / total, 1.0)
         return part
