--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -175,8 +175,8 @@
 
 
 def test_a_part_stays_as_it_is_where_its_servers_fail() -> None:
-    # Grown by failing servers it cost a fleet a third more connections after a lost zone, and won nothing that
-    # could be told on two seeds of zone and split and on clachan-loans.
+    # Grown by failing servers it cost a fleet a third more connections after a lost zone, and won nothing
+    # that could be told on two seeds of zone and split and on clachan-loans.
     desk = Desk(servers=20, instances=50)
     before = {server.endpoint.address for server in desk.balancer._ring}
     play(desk, 80, before)
