Found by the search: who left and came again is looked for, too; worlds that can't meet are told apart

Cause: of 5000 worlds two did not settle as a member that had left in order came back with nothing while all seeds were dead: only the dead were looked for (1109, 4716). Three more can't settle: nobody who lives knows of the other, and no seed lives. Change: whoever is known and does not live is looked for, one a period as before; the search tells such worlds by who knows whose place. The first member may call discovery before it has met others: it may be that nobody has a list. Measured: both seeds settle and are tests.

--- a/larkcrank/fleet/asking.py
+++ b/larkcrank/fleet/asking.py
@@ -13,7 +13,7 @@
 WATCHERS_SHARE = 0.1  # ... or this share of the fleet
 CALM_MS = 30_000.0  # the others watch again after so long ...
 EACH_MS = 150.0  # ... spread by so much a member
-MEET_MS = 1000.0  # until then one waits to meet others: turns go by who lives
+MEET_MS = 1000.0  # until then all but the first wait to meet others: turns go by who lives
 ALONE_MS = 5000.0  # who has met nobody by then asks as if it were alone
 KNOWN_MS = 20_000.0  # a list that discovery told to a fellow so lately needs no call of ours
 
@@ -53,8 +53,8 @@
         met = len(live) > 1
         if not met and (now >= self._began + ALONE_MS or self._count == 1):
             return True
-        if now < self._began + MEET_MS:
-            return False
+        if not met and now < self._began + MEET_MS:
+            return self._ordinal % self._count == 0  # one at once: it may be that nobody has a list at all
         place, count = self._place(live) if met else (self._ordinal % self._count, self._count)
         if now < told_at + KNOWN_MS:
             self._known_at = min(self._known_at, now)
--- a/larkcrank/fleet/membership.py
+++ b/larkcrank/fleet/membership.py
@@ -134,7 +134,9 @@
         self.version = 0  # grows when the live ones are others
         self.differed_at = -math.inf  # when somebody's digest was last another than ours
         self.met_at = math.inf  # when the first other was met
-        self._dead: dict[str, Record] = {}  # those that are looked for
+        self._dead: dict[
+            str, Record
+        ] = {}  # those that do not, and are looked for: also who left may come again
         self._names: list[set[str]] = [set() for _ in range(BUCKETS)]  # all known names, by bucket
         self._places: Counter[str] = Counter()  # where the live ones are
         self._hold(None, me)
@@ -491,7 +493,7 @@
             if record.is_live:
                 self.lives[name] = record
                 self._places[record.place] += 1
-            elif record.standing is Standing.DEAD:
+            else:
                 self._dead[name] = record
         self.version += was_live is not (name in self.lives)
 
--- a/larkcrank/lab/worlds.py
+++ b/larkcrank/lab/worlds.py
@@ -52,6 +52,8 @@
             if self.world.is_settled():
                 return self.world.now - began
             self.run(STEP_MS)
+        if not can_meet(self.world):
+            return None
         live = {number: sorted(member.lives) for number, member in self.world.members.items()}
         self.found.append(f"not settled after {QUIET_MS / 1000:.0f} s: {live}")
         return None
@@ -65,6 +67,23 @@
                 self._seen[number, member.me.life, name] = record
 
 
+def can_meet(world: World) -> bool:
+    """Whether those that live know of each other at all, directly or by others: seeds may have died unmet."""
+    places = {f"m:{number}": number for number in world.members}
+    knows: dict[int, set[int]] = {number: set() for number in world.members}
+    for number, member in world.members.items():
+        known = {record.place for record in member.members.values()} | set(world.seeds)
+        for other in (places[place] for place in known if place in places):
+            knows[number].add(other)
+            knows[other].add(number)
+    met, waiting = set[int](), list(world.members)[:1]
+    while waiting:
+        if (number := waiting.pop()) not in met:
+            met.add(number)
+            waiting += knows[number]
+    return len(met) == len(world.members)
+
+
 def _rank(record: Record) -> tuple[int, int, int]:
     """Written out once more: what is searched for must not follow what is searched."""
     return record.incarnation, record.standing, record.life
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -351,6 +351,23 @@
     assert worlds.play_seed(90) is None
 
 
+@pytest.mark.parametrize("seed", [1109, 4716])
+def test_who_left_and_comes_again_is_found_though_all_seeds_are_dead(seed: int) -> None:
+    """Found by the search: only the dead were looked for, and it knew nobody."""
+    assert worlds.play_seed(seed) is None
+
+
+def test_worlds_in_which_nobody_knows_of_the_other_are_told_apart() -> None:
+    world = World(4, 1, seeds=1)
+    assert world.settle(QUIET_MS) is not None
+    world.kill([0, 1])
+    assert worlds.can_meet(world)  # the seed is dead, and they know each other
+    world.kill([2, 3])
+    world.start(2)
+    world.start(3)
+    assert not worlds.can_meet(world)
+
+
 def test_every_world_of_three_members_and_one_spell() -> None:
     """Killed, restarted or nobody; then alone, dumb, deaf, a pair apart. Two spells: `fleet hunt`."""
     played = [worlds.play_steps(steps) for steps in worlds.every(1)]
