A cold server gets more than its cautious part as its answers in time show that it bears it

Cause: where most or all servers are new (a replacement of five in six, a power loss) their quotas of 0.7 of what they surely can do summed up to far less than what they could; 20 sidecars refused 40 in 100 for three seconds after everybody knew the new list.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -54,7 +54,7 @@
 LOOK_MOST = 64  # servers looked at for one request in one event
 RETRY_SHARE = 0.2  # further attempts allowed, as a share of requests taken
 RETRY_SAVED = 10.0  # further attempts that a quiet time may save up
-COLD_CAUTION = 0.7  # of the share of its capacity that a cold server surely has
+COLD_CAUTION = 0.7  # of the share of its capacity that a cold server surely has; more as its answers show
 RATE_MS = 2000.0  # time constant of the rate of requests
 TENANT_MS = 5000.0  # time constant of what a tenant has had
 ASK_EACH_MS = 150.0  # of spread for each instance's call: the service takes them in turn, a few a second
@@ -305,7 +305,7 @@
         if cold <= 0 or not server.endpoint.started_at:
             return True
         sure = 1 - (1 - self._set.cold_from) * min(cold / self._set.warm_after_ms, 1.0)
-        rate = COLD_CAUTION * sure * self._even * (server.size if self._weigh else 1.0)
+        rate = max(COLD_CAUTION * sure, server.warmth) * self._even * (server.size if self._weigh else 1.0)
         server.cold_credit = min(server.cold_credit + rate * (self._now - server.cold_at), 1.0)
         server.cold_at = self._now
         return server.cold_credit >= 1.0
@@ -565,6 +565,7 @@
             server.wary_until = max(now + often * memory, server.wary_until)
             rest = now + self._window * OVERDUE_TIMES * often
             server.benched_until = max(min(rest, server.wary_until), server.benched_until)
+            server.warmth /= 2
         if failed:
             server.spared.clear()
             self._settle(attempt, event.result is not Result.RESET or self._thin)  # it tells nothing of speed
@@ -580,6 +581,7 @@
         elif event.result is Result.OK and not stuck:
             self._settle(attempt, False)
             server.fails //= 2
+            server.warmth = min(max(server.warmth, 1 - COLD_CAUTION) / COLD_CAUTION, 1.0)
             server.spared.pop(attempt.index, None)
             # What is overdue and was overtaken is lost on its connection: the server owes it to nobody.
             server.owes = [one for one in server.owes if not one.missed or one.sent_at > attempt.sent_at]
--- a/larkcrank/core/state.py
+++ b/larkcrank/core/state.py
@@ -65,6 +65,7 @@
     wary_until: float = -math.inf  # turns only where no other server has quota
     cold_credit: float = 1.0  # sends left of what it surely can do while it is cold ...
     cold_at: float = 0.0  # ... counted up to here
+    warmth: float = 0.0  # the part of its even share that its answers show it to bear
     ahead: int = 0  # turns taken before they came
     mark: int = 0  # a checksum of its address
     listed: bool = True  # or kept though the list leaves it out or calls it gone
