--- a/larkcrank/fleet/asking.py
+++ b/larkcrank/fleet/asking.py
@@ -8,7 +8,9 @@
 from functools import lru_cache
 from hashlib import blake2b
 
-TURN_MS = 2000.0  # one asks at a time; after so long it is the next one's turn, dead, cut off or failing
+# One asks at a time; after so long it is the next one's turn, be this one dead, cut off or failing. At
+# 2 s the first was told 1.5 to 2 s after discovery was back, and the fleet stood by the old list as long.
+TURN_MS = 1000.0
 WATCHERS = 2  # so many watch as soon as a list is known ...
 WATCHERS_SHARE = 0.1  # ... or this share of the fleet
 CALM_MS = 30_000.0  # the others watch again after so long ...
--- a/larkcrank/fleet/membership.py
+++ b/larkcrank/fleet/membership.py
@@ -41,7 +41,8 @@
 
 TICK_MS = 100.0
 PERIOD_MS = 1000.0  # one probe in each; longer where answers take longer ...
-PERIOD_MOST_MS = 8000.0  # ... but not than this
+PERIOD_MOST_MS = 4000.0  # ... but not than this
+RTT_MOST_MS = 2000.0  # an answer after longer tells of a process that stood still, not of its way
 RTT_WEIGHT, RTT_SPREAD_WEIGHT = 0.125, 0.25  # of one answer's time, and of how far off it was (RFC 6298) ...
 RTT_SPREADS = 4.0  # ... so many of which an answer may take longer than usual
 TIMED_MOST = 16  # probes whose answer is timed, be it late
@@ -363,7 +364,8 @@
         return out
 
     def _acked(self, name: str, number: int) -> list[Out]:
-        if (sent_at := self._timed.pop(number, None)) is not None:
+        sent_at = self._timed.pop(number, None)
+        if sent_at is not None and self._now - sent_at <= RTT_MOST_MS:
             self._time(self._now - sent_at)
         probe = self._probe
         if probe is not None and probe.number == number:
