--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -474,6 +474,6 @@
 @pytest.mark.parametrize("seed", [103, 153, 266])
 def test_links_of_300_ms_make_nobody_suspect_everybody(seed: int) -> None:
     """Found by the search: answers took longer than half of a period, so that incarnations never
-    came to rest; one that agreed with a suspicion of another life took the name back to it (103); and answers of
+    came to rest; one that agreed with a suspicion of another life took the name back (103); and answers of
     members that had stood still made the period of others long (153)."""
     assert worlds.play_seed(seed) is None
