--- a/larkcrank/lab/processes.py
+++ b/larkcrank/lab/processes.py
@@ -201,6 +201,7 @@
 
     def _await(self, event: str) -> "asyncio.Future[dict[str, Any]]":
         future: asyncio.Future[dict[str, Any]] = asyncio.get_running_loop().create_future()
+        self._forget(event)
         self._told[event] = future
         return future
 
@@ -217,6 +218,8 @@
         code = await process.wait()
         if self._expected:
             self._event("ended", self.name, str(code))
+            for event in list(self._told):  # it was ended before it could say so
+                self._forget(event)
             return
         self._process = None
         text = f"{self.name} ended by itself with {code}; {self._last()}"
@@ -227,6 +230,12 @@
         if not self.crashed.done():
             self.crashed.set_result(text)
 
+    def _forget(self, event: str) -> None:
+        """Whoever waits for it waits no longer: a process may be killed while it starts."""
+        future = self._told.pop(event, None)
+        if future is not None and not future.done():
+            future.set_result({})
+
     def _line(self, line: bytes) -> None:
         self.lines.append(line.decode("utf-8", "replace").rstrip())
         try:
