--- a/larkcrank/lab/bench.py
+++ b/larkcrank/lab/bench.py
@@ -119,8 +119,6 @@
             self._relays = await datagram_relays(
                 scenario.fleet.processes, lambda i, j: self._way(("sidecars", i), ("sidecars", j))
             )
-            for relay in self._relays:
-                relay.member = _free_datagram_port()
         began = loop.time()
         self._progress(f"starting {scenario.fleet.processes} processes")
         gate = asyncio.Semaphore(STARTS_AT_ONCE)
@@ -273,6 +271,8 @@
         return [own for own in owns if index in members(own.who, self._scenario)["sidecars"]]
 
     async def _start(self, child: Child, known: dict[str, Any] | None) -> None:
+        if self._relays:  # anew each time: nobody holds the port of a process that is dead
+            self._relays[child.index].member = _free_datagram_port()
         await child.start(self._config(child, known))
 
     async def _load(self) -> None:
