--- a/larkcrank/lab/bench.py
+++ b/larkcrank/lab/bench.py
@@ -4,6 +4,7 @@
 import math
 import os
 import resource
+import secrets
 import shutil
 import signal
 import socket
@@ -37,6 +38,7 @@
 POLL_S = 0.05
 FOLDER = "larkcrank-fleet-"  # in the temporary directory, then the bench's own process id
 EVERYONE = -1  # the near end of a link that all processes share
+OWN_PORTS = (20000, 32000)  # of members, for datagrams
 SEEDS = 3  # the first members, which others may be told to begin with
 MOST_DESCRIPTORS = 1 << 16
 
@@ -582,11 +584,18 @@
 
 
 def _free_datagram_port() -> tuple[str, int]:
-    """A port that was free just now: what is to bind it is told it at once."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind(("127.0.0.1", 0))
-        host, port = sock.getsockname()
-        return host, port
+    """A port that was free just now: what is to bind it is told it at once.
+
+    Not one of those that the kernel gives away by itself: another process got it before ours had begun.
+    """
+    while True:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            try:
+                sock.bind(("127.0.0.1", OWN_PORTS[0] + secrets.randbelow(OWN_PORTS[1] - OWN_PORTS[0])))
+            except OSError:
+                continue
+            host, port = sock.getsockname()
+            return host, port
 
 
 def _filled(value: Any, names: dict[str, str]) -> Any:
