Fleet bench: a process that is not ready is not asked for its counters

Change: none are asked for before ready, and those of a former life are not taken for a later one's.

--- a/larkcrank/lab/processes.py
+++ b/larkcrank/lab/processes.py
@@ -64,6 +64,7 @@
         self._told: dict[str, asyncio.Future[dict[str, Any]]] = {}
         self._reserved = [reserve(), reserve()]
         self._expected = False  # its end was asked for
+        self._is_ready = False
         self._away_at = math.inf  # from then on the platform brings it no new connections
         self.crashed: asyncio.Future[str] = asyncio.get_running_loop().create_future()
 
@@ -101,6 +102,7 @@
         environment |= {"PROXY_CONFIG": str(path), "TMPDIR": str(self._folder)}
         began = loop.time()
         self._expected, self._away_at = False, math.inf
+        self._is_ready = False
         self._process = await asyncio.create_subprocess_exec(
             *self._command,
             env=environment,
@@ -146,9 +148,9 @@
             self._event("continued", self.name, "")
 
     async def ask_counters(self) -> dict[str, Any]:
-        """Its counters as they are now. Raises TimeoutError."""
-        if self._process is None:
-            return self.counters
+        """Its counters now; none before it is ready: the signal would end it. Raises TimeoutError."""
+        if self._process is None or not self._is_ready:
+            return {}
         told = self._await("counters")
         self._process.send_signal(signal.SIGUSR1)
         return await asyncio.wait_for(told, CALL_S)
@@ -244,6 +246,7 @@
             return
         event = str(found.get("event", ""))
         if event == "ready":
+            self._is_ready = True
             self._event("ready", self.name, "")
         elif event == "counters":
             self.counters = found
