--- a/larkcrank/lab/processes.py
+++ b/larkcrank/lab/processes.py
@@ -52,7 +52,6 @@
     ) -> None:
         self.index = index
         self.lives = 0
-        self.counters: dict[str, Any] = {}
         self.lines: deque[str] = deque(maxlen=LAST_LINES)
         self.started_s = 0.0  # from its start until it was ready, its last life
         self._folder, self._event = folder, event
@@ -248,8 +247,6 @@
         if event == "ready":
             self._is_ready = True
             self._event("ready", self.name, "")
-        elif event == "counters":
-            self.counters = found
         elif event == "crashed":
             self._event("defect", self.name, self.lines[-1])
         future = self._told.pop(event, None)
