Lists that cross or fall silent: an older whole list no longer undoes a drain

Need: the reading of list watches for races. Found, each forced by a test that fails on the text before (routing/discovery.py): - a whole list asked for before the watch told a drain came after it, was taken, and set the generation back (_ask) - watch(off), watch(on) before the cancelled task ended, or a call for a watch made by whoever hears of its failure: no watch was begun, for up to 8 s (watch, _keep_watching) - a watch that fell silent was noticed 2.5 s after its wait, and begun again after a pause, while what it missed counts as told 2 s after it; half a head or half a list counted as silence of the whole wait - a call that crossed the end of a kept connection was a failure of discovery - a list that was handed over after SIGHUP had moved discovery brought the old discovery's generation along Change: a whole list counts only if no watch has told anything since it was asked for; a watch that is over is forgotten before that is told; 1.5 s of slack, 3 s for a list call, 2 s for an answer that has begun, no pause after silence; one more try on a new connection within the time of a connect; generations are taken before a move only. Ruled out: a generation that goes back in itself, which a discovery that counts anew must be able to.

--- a/larkcrank/routing/discovery.py
+++ b/larkcrank/routing/discovery.py
@@ -13,8 +13,9 @@
 # As long as discovery allows: each call costs it work, and what it has to tell counts as told soon after
 # the wait is over, arrived or not. A sidecar cut off from it is then held to drains it can't hear of.
 WATCH_MS = 60000
-SLACK_MS = 2500.0  # a call not answered so long after its wait is not answered at all
-FETCH_TIMEOUT_MS = 6000.0
+SLACK_MS = 1500.0  # a call not answered so long after its wait is silent; 2 s after it all counts as told
+FETCH_TIMEOUT_MS = 3000.0  # discovery itself gives a call up after 2 s
+REST_S = 2.0  # an answer that has begun must be whole by then, however long the call may wait for it
 AGAIN_S = (0.5, 8.0)  # between watches that fail, where nobody else decides when to ask
 MAX_LIST = 4 << 20
 GATE_S = 0.1  # between looks whether a call may be made
@@ -53,6 +54,9 @@
         self._failed = failed
         self._generation: int | None = None
         self._watch: asyncio.Task[None] | None = None
+        self._wanted = False  # a watch, also while none is under way
+        self._told = 0  # answers of watches
+        self._moved = False  # to another discovery than the configuration at the start named
         self._fetch: asyncio.Task[None] | None = None
         self._closed = False
         self.on_list: Callable[[Listing], None] = lambda _: None
@@ -66,7 +70,7 @@
             listing = discovery.parse(text, self._names)
         except discovery.ListError:
             return None
-        self._generation = listing.generation
+        self.go_on_from(listing.generation)
         return listing
 
     @property
@@ -75,14 +79,17 @@
         return self._generation
 
     def go_on_from(self, generation: int | None) -> None:
-        """The list of this generation is known from elsewhere."""
-        self._generation = generation
+        """The list of this generation is known from elsewhere; moved meanwhile, it is another's count."""
+        if not self._moved:
+            self._generation = generation
 
     def watch(self, on: bool = True) -> None:
         """Watch from now on. While a watch is under way another call would tell nothing more."""
+        self._wanted = on
         if not on:
             if self._watch is not None:
                 self._watch.cancel()
+                self._watch = None  # it is over, though it has not ended yet: the next call begins another
         elif self._closed:
             return  # the last requests still end, and the balancer may ask on that
         elif self._watch is None or self._watch.done():
@@ -102,9 +109,9 @@
         if place == self._place:
             return
         self._end_calls()  # nothing that the old one still answers may overwrite the new list
-        self._place, self._generation, self._fetch = place, None, None
-        if self._watch is not None or self._always:
-            self._watch = None
+        self._place, self._generation, self._moved = place, None, True
+        self._watch = self._fetch = None
+        if self._wanted or self._always:
             self.watch()
 
     def close(self) -> None:
@@ -124,12 +131,21 @@
             while True:
                 while self.gate is not None and not self.gate():
                     await asyncio.sleep(GATE_S)
-                if await self._ask(line, WATCH_MS):
+                error = await self._ask(line, WATCH_MS)
+                if error is None:
                     wait_s = AGAIN_S[0]
-                elif self.gate is not None:
-                    await asyncio.sleep(AGAIN_S[0])
-                elif not self._always:
+                    continue
+                silent = isinstance(error, TimeoutError) and self._generation is not None
+                ends = not (silent or self._always or self.gate is not None)
+                if ends:
+                    self._watch = None  # before it is told: what is told may ask for the next one
+                self.on_failure(str(error) or type(error).__name__)
+                if ends:
                     return
+                if silent:
+                    continue  # it took its time, and what it missed counts as told soon
+                if self.gate is not None:
+                    await asyncio.sleep(AGAIN_S[0])
                 else:
                     await asyncio.sleep(wait_s * (0.5 + self._rng.random()))
                     wait_s = min(2 * wait_s, AGAIN_S[1])
@@ -139,12 +155,16 @@
     async def _fetch_once(self) -> None:
         line = _Line(self._place, self._descriptors, self._connect_timeout_ms)
         try:
-            await self._ask(line, None)
+            error = await self._ask(line, None)
+            self._fetch = None
+            if error is not None:
+                self.on_failure(str(error) or type(error).__name__)
         finally:
             line.close()
 
-    async def _ask(self, line: "_Line", wait_ms: int | None) -> bool:
-        """One call; False where it failed, which has then been told."""
+    async def _ask(self, line: "_Line", wait_ms: int | None) -> Exception | None:
+        """One call, a watch's or for the whole list; why it failed, None where it did not."""
+        told = self._told
         self._tally.discovery_calls += 1
         target, timeout = discovery.LIST_TARGET, FETCH_TIMEOUT_MS
         if wait_ms is not None and self._generation is not None:
@@ -157,9 +177,15 @@
             listing = discovery.parse(response.body, self._names)
             if target == discovery.LIST_TARGET and not listing.whole:
                 listing = Listing(listing.generation, True, listing.endpoints, listing.places)
-            dead = wait_ms is None and listing.generation > (self._generation or 0)
-            self._generation = listing.generation
             self._tally.lists += 1
+            if wait_ms is not None:
+                self._told += 1
+            elif told != self._told:
+                return (
+                    None  # the watch has told something since this was asked for: it lives, and knows better
+                )
+            dead = wait_ms is None and listing.generation != self._generation
+            self._generation = listing.generation
             if dead and self._watch is not None and not self._watch.done():
                 # A watch that lives would have told this: a machine that vanished is silent on old ones.
                 self._watch.cancel()
@@ -175,15 +201,13 @@
         ) as error:
             line.close()
             self._tally.discovery_failures += 1
-            self.on_failure(str(error) or type(error).__name__)
-            return False
+            return error
         except Exception as error:  # told as a failure, or nobody would ever ask again
             line.close()
             self._tally.crashed += 1
             self._failed("discovery", error)
-            self.on_failure(str(error))
-            return False
-        return True
+            return error
+        return None
 
 
 class _Line:
@@ -194,17 +218,28 @@
         self._connection: Connection | None = None
 
     async def get(self, target: bytes) -> http1.Response:
-        connection = self._connection
-        if connection is None or not connection.is_quiet():
-            self.close()
-            connecting = Connecting(self._place, self._descriptors, Use.DISCOVERY)
-            self._connection = connection = connecting.connection
-            await connecting.wait(self._connect_timeout_ms)
+        """One call. One that crosses the end of a kept connection is made once more, on a new one."""
+        loop = asyncio.get_running_loop()
+        if self._connection is not None and self._connection.is_quiet():
+            began = loop.time()
+            try:
+                return await self._get(self._connection, target)
+            except ConnectionLostError:
+                if loop.time() - began > self._connect_timeout_ms / 1000.0:
+                    raise  # it had been taken: all watches may have ended, and all would come at once
+        self.close()
+        connecting = Connecting(self._place, self._descriptors, Use.DISCOVERY)
+        self._connection = connecting.connection
+        return await self._get(await connecting.wait(self._connect_timeout_ms), target)
+
+    async def _get(self, connection: Connection, target: bytes) -> http1.Response:
         host = b"Host: %s:%d" % (self._place[0].encode(), self._place[1])
         await connection.write(http1.request_bytes(b"GET", target, (host,)))
         parser = http1.ResponseParser(max_body=MAX_LIST)
-        while not parser.complete:
-            parser.feed(await connection.read())
+        parser.feed(await connection.read())
+        async with asyncio.timeout(REST_S):
+            while not parser.complete:
+                parser.feed(await connection.read())
         response = parser.response()
         if not response.keep_alive:
             self.close()
--- /dev/null
+++ b/tests/test_crossings_lists.py
@@ -0,0 +1,142 @@
+"""Lists that cross each other, fall silent, or end at the wrong moment.
+
+Each order is forced by the test's own peers, by decisions that wait for the test's word, or by doing both
+things within one turn of the loop. No sleep has to hit anything.
+"""
+
+import pytest
+
+from larkcrank.routing import discovery
+from tests import bed as b
+from tests import crossing as x
+
+
+def test_a_whole_list_that_comes_after_the_watch_told_a_drain_is_left() -> None:
+    """It was made before the drain: taken, the server would have had turns again, and the count gone back."""
+
+    async def work() -> None:
+        async with x.Asker() as asker:
+            script = asker.script
+            asker.discovery.go_on_from(4)
+            asker.discovery.watch()
+            assert (await script.called(1)).startswith(b"/registry/instances?after=4&")
+            asker.discovery.fetch()
+            assert await script.called(2) == b"/registry/instances"
+            script.answer(0, 5, "Terminating", whole=False)
+            assert (await script.called(3)).startswith(b"/registry/instances?after=5&")
+            script.answer(1, 4, "Ready", whole=True)
+            await b.until(lambda: asker.counters.lists == 2)
+            assert asker.told() == [(5, False)] and asker.discovery.generation == 5
+            assert len(script.calls) == 3  # the watch goes on
+
+    b.run(work())
+
+
+@pytest.mark.parametrize("generation", [2, 9])
+def test_a_whole_list_that_differs_with_nothing_told_meanwhile_counts_and_the_watch_is_dead(
+    generation: int,
+) -> None:
+    """Newer: the watch would have told it. Older: discovery counts anew, and the watch waits at none."""
+
+    async def work() -> None:
+        async with x.Asker() as asker:
+            asker.discovery.go_on_from(4)
+            asker.discovery.watch()
+            await asker.script.called(1)
+            asker.discovery.fetch()
+            await asker.script.called(2)
+            asker.script.answer(1, generation, "Ready", whole=True)
+            assert b"after=%d&" % generation in await asker.script.called(3)
+            assert asker.told() == [(generation, True)]
+
+    b.run(work())
+
+
+def test_a_watch_called_off_and_asked_for_again_in_one_breath_is_there() -> None:
+    async def work() -> None:
+        async with x.Asker(always=False) as asker:
+            asker.discovery.watch()
+            await asker.script.called(1)
+            asker.discovery.watch(on=False)
+            asker.discovery.watch()
+            await asker.script.called(2)
+
+    b.run(work())
+
+
+def test_a_watch_asked_for_by_whoever_hears_of_its_failure_is_there() -> None:
+    """The task that told the failure was not done yet, and the call was taken for one too many."""
+
+    async def work() -> None:
+        async with x.Asker(always=False) as asker:
+            asker.discovery.on_failure = lambda _: asker.discovery.watch()
+            asker.discovery.watch()
+            await asker.script.called(1)
+            asker.script.calls[0][1].close()
+            await asker.script.called(2)
+
+    b.run(work())
+
+
+@pytest.mark.parametrize(
+    "half", [b"", b"HTTP/1.1 200 OK\r\nContent-", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"]
+)
+@pytest.mark.parametrize("always", [False, True])
+def test_a_watch_that_fell_silent_is_opened_anew_at_once(
+    half: bytes, always: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Also within a head or a list. What it missed counts as told 2 s after its wait: no pause fits in."""
+    monkeypatch.setattr(discovery, "WATCH_MS", 1 if not half else 60000)
+    monkeypatch.setattr(discovery, "SLACK_MS", 1.0)
+    monkeypatch.setattr(discovery, "REST_S", 0.001)
+    monkeypatch.setattr(discovery, "AGAIN_S", (3600.0, 3600.0))
+
+    async def work() -> None:
+        async with x.Asker(always) as asker:
+            asker.discovery.go_on_from(4)
+            asker.discovery.watch()
+            await asker.script.called(1)
+            asker.script.calls[0][1].write(half)
+            assert b"after=4&" in await asker.script.called(2)
+            assert not asker.lists and asker.failures
+
+    b.run(work())
+
+
+def test_the_waits_of_discovery_calls_fit_what_counts_as_told() -> None:
+    """2 s after a call's wait; 4 s after a move to another discovery, in which one call may hang."""
+    assert discovery.SLACK_MS + 250.0 < 2000.0 and discovery.FETCH_TIMEOUT_MS < 4000.0
+    assert discovery.WATCH_MS <= 60000
+
+
+def test_a_call_that_crosses_the_end_of_a_kept_connection_is_made_again() -> None:
+    """The end was on its way when the call went out: nobody has failed, and no pause is due."""
+
+    async def work() -> None:
+        async with x.Asker(always=False) as asker:
+            asker.discovery.go_on_from(4)
+            asker.discovery.watch()
+            await asker.script.called(1)
+            asker.script.answer(0, 5, "Ready", whole=False)
+            await asker.script.called(2)
+            asker.script.calls[1][1].close()  # the second call's answer is its end
+            assert await asker.script.called(3) == asker.script.calls[1][0]
+            assert not asker.failures
+
+    b.run(work())
+
+
+def test_a_generation_of_the_discovery_before_a_move_is_not_asked_after() -> None:
+    """A hand-over may end after a SIGHUP has moved discovery: the two count differently."""
+
+    async def work() -> None:
+        async with x.Asker() as asker:
+            other = x.Script()
+            await other.start()
+            asker.discovery.move(("127.0.0.1", other.port))
+            asker.discovery.go_on_from(41)
+            assert await other.called(1) == b"/registry/instances"
+            assert asker.discovery.generation is None
+            other.stop()
+
+    b.run(work())
