--- a/larkcrank/command/main.py
+++ b/larkcrank/command/main.py
@@ -25,7 +25,7 @@
 @main.command()
 def serve() -> None:
     """Run one sidecar, configured by PROXY_CONFIG."""
-    from larkcrank.__main__ import serve as run
+    from larkcrank.program.start import serve as run
 
     sys.exit(run())
 
--- a/tests/test_fleet_program.py
+++ b/tests/test_fleet_program.py
@@ -131,7 +131,7 @@
 
 def test_a_plain_start_loads_nothing_of_it() -> None:
     code = (
-        "import sys; import larkcrank.__main__;"
+        "import sys; import larkcrank.__main__, larkcrank.program.start;"
         "print([m for m in sys.modules if m.split('.')[0] in ('click', 'uvloop', 'structlog', 'psutil')"
         " or m.startswith(('larkcrank.fleet', 'larkcrank.lab', 'larkcrank.command'))])"
     )
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -228,7 +228,7 @@
 
 def test_a_process_that_dies_by_itself_ends_the_run() -> None:
     code = (
-        "import asyncio, sys, os; from larkcrank.__main__ import serve;"
+        "import asyncio, sys, os; from larkcrank.program.start import serve;"
         "import threading; threading.Timer(1.0, lambda: os._exit(9)).start(); serve()"
     )
     one = tiny(seconds=30.0, fleet=Fleet(processes=1, command=[sys.executable, "-c", code]))
