Nothing goes on for a client that left while its request waited; ends before the kill

At fault: a request got its server in the turn in which its client's end was still unread (routing/servers.py, _attempt); no read is pending behind bytes sent ahead or while a long body is held back, so that such a leaving was never noticed (routing/clients.py, _await_answer, _pump); an attempt that waited for its connection kept a key's turn. Change: a last look at the client's connection before the first byte, which sees an end behind unread bytes as well (POLLRDHUP); the same look every 50 ms where no read is pending; what has not begun ends with its request, as never sent, also where nothing may be cancelled. Counter gone_before_send.

In the same files: a keyed repeat carries the end of its window (Send.begin_by_ms, Job.repeat_by), since its connection may come up after it; at the end, requests whose clients would wait for longer than the platform does (3 s and 0.7 s) are answered before the kill, and what then still reads or writes is cut; a start that is cut off by SIGTERM is over before all is closed.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -349,11 +349,10 @@
         return heapq.nlargest(HOMES, self._ring, key=lambda server: server.draw(job.subject, self._weigh))
 
     def _may_go(self, job: Job, server: Server) -> bool:
-        """Rule 2: what may have run is repeated only where the repeat is harmless."""
+        """Rule 2: what may have run is repeated only where that is harmless, a keyed one in its group."""
         if job.ran is None or job.cls.effect is Effect.SAFE:
             return True
-        over = self._now + self._set.tick_ms >= job.ran.sent_at + job.cls.window_ms
-        if job.cls.effect is Effect.UNSAFE or over:
+        if self._now + self._set.tick_ms >= job.repeat_by:
             return False
         first, there, group = job.ran.server.endpoint, server.endpoint, job.cls.group
         same = first.zone == there.zone if group is Group.ZONE else first.cell == there.cell
@@ -466,7 +465,7 @@
         brake = self._brake(server)
         brake.credit = max(brake.credit - 1.0, 0.0)  # no debt from when nothing bound
         brake.sends.add(self._now, max(self._span, RATE_MS))
-        self._actions.append(Send(job.id, server.endpoint.address))
+        self._actions.append(Send(job.id, server.endpoint.address, begin_by_ms=job.repeat_by))
 
     def _expect(self, job: Job, index: int, attempt: Attempt) -> None:
         """From now on the server owes an answer."""
--- a/larkcrank/core/interface.py
+++ b/larkcrank/core/interface.py
@@ -5,6 +5,7 @@
 byte string that the transport understands; the balancer only compares it.
 """
 
+import math
 from dataclasses import dataclass
 from enum import Enum, IntEnum
 from typing import TypeAlias
@@ -229,11 +230,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    """Start an attempt. `stop_at_ms` 0 means when the client gives up."""
+    """Start an attempt. `stop_at_ms` 0 means when the client gives up. From `begin_by_ms` on it may not
+    begin any more, however long its connection took to come up."""
 
     id: int
     address: Address
     stop_at_ms: float = 0.0
+    begin_by_ms: float = math.inf
 
 
 @dataclass(slots=True, frozen=True)
--- a/larkcrank/core/state.py
+++ b/larkcrank/core/state.py
@@ -7,7 +7,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from larkcrank.core.interface import Endpoint, RequestClass
+from larkcrank.core.interface import Effect, Endpoint, RequestClass
 
 
 @dataclass(slots=True)
@@ -107,6 +107,14 @@
     ran: Attempt | None = None  # the first attempt that may have run
     tried: list[Server] = field(default_factory=list)
 
+    @property
+    def repeat_by(self) -> float:
+        """Before when another attempt may begin (rule 2): what may have run is repeated only where that is
+        harmless, a keyed one within its window."""
+        if self.ran is None or self.cls.effect is Effect.SAFE:
+            return math.inf
+        return -math.inf if self.cls.effect is Effect.UNSAFE else self.ran.sent_at + self.cls.window_ms
+
 
 @dataclass(slots=True, eq=False)
 class Line:
--- a/larkcrank/program/counters.py
+++ b/larkcrank/program/counters.py
@@ -17,6 +17,7 @@
     refused: int = 0
     failed: int = 0
     clients_gone: int = 0
+    gone_before_send: int = 0
     overdue: int = 0
     unsent_late: int = 0
     sends: int = 0
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -37,7 +37,9 @@
 REST_S = 0.2  # but one just answered may bring its next request any moment
 LEAVE_PASSED_S = 1.0  # where a successor serves, most clients are sent there by an answer, not by a close
 LIST_S = 2.5  # a process whose predecessor can't be heard waits so long for discovery
-LAST_MS = 500.0  # the platform waits for the longest deadline and 0.7 s: nothing may be open by then
+LONGEST_MS = 3000.0  # the platform waits for the longest deadline, but no longer than this, ...
+LAST_MS = 500.0  # ... and 0.7 s before it kills: by then nothing may be open ...
+CUT_MS = 650.0  # ... and what then still reads or writes is ended
 LOOK_S = 0.05
 
 
@@ -340,6 +342,9 @@
             gc.freeze()  # what lives as long as the program need not be looked through again
         await ending
         beginning.cancel()  # ended before it began
+        await asyncio.wait(
+            (beginning,)
+        )  # what it has half set up is whole, or given back, before all is closed
         await self.wind_down()
         self.keep()
         self.show_counters()
@@ -372,7 +377,9 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         longest = max(cls.deadline_ms for cls in self._config.site.decisions.classes)
-        self.life.end(self._clock() + longest + LAST_MS)
+        last_ms = min(longest, LONGEST_MS) + LAST_MS
+        self.life.end(self._clock() + last_ms)
+        self._driver.end_by(self.life.latest)
         if self._listener.is_passed:
             await self.stop_listening()  # what waits there is the successor's
         while (spent := loop.time() - began) < (LEAVE_PASSED_S if self._listener.is_passed else ACCEPT_ON_S):
@@ -381,9 +388,9 @@
                 self.clients.close_idle(REST_S)  # a request that crosses this finds the listener still open
         await self.stop_listening()
         rest_s = REST_S if self._listener.is_passed else 0.0
-        while True:
+        while self.clients.open:
             await asyncio.sleep(LOOK_S)  # what the last accept brought is read first
-            if not self.clients.close_idle(rest_s):
-                break
-        await self.clients.finished()
+            self.clients.close_idle(rest_s)
+            if loop.time() - began > (last_ms + CUT_MS - LAST_MS) / 1000.0:
+                self.clients.cut()
         self.close()
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -26,6 +26,7 @@
 LINGER_S = 0.3  # a client that is told of its error may still be sending
 LINGER_BYTES = 1 << 20
 SWEEP_S = 0.2
+LOOK_S = 0.05  # between looks whether a client has left whose bytes are not read just now
 
 
 class Desk(Protocol):
@@ -105,10 +106,12 @@
                 visit.connection.close()
         return sum(not visit.connection.closed for visit in self._open.values())
 
-    async def finished(self) -> None:
-        """Wait until the last connection is closed."""
-        while self._open:
-            await asyncio.wait([visit.task for visit in self._open.values() if visit.task is not None])
+    def cut(self) -> None:
+        """End every connection; what is half written on one shows that it is not whole."""
+        for visit in self._open.values():
+            visit.connection.break_off()
+            if visit.task is not None:
+                visit.task.cancel()
 
     def _make_way(self) -> bool:
         """Close one connection on which nothing is under way: silent ones that have had their time first."""
@@ -220,7 +223,7 @@
         if platform.is_ready_check(request):
             status = 200 if self._life.is_ready else 503
             return await self._write(visit, request, status, (), b"")
-        exchange = self._exchange(request, visit.read_at)  # what is no request ends its connection
+        exchange = self._exchange(request, visit)  # what is no request ends its connection
         if self._desk.is_full():
             self._tally.turned_away_full += 1
             return await self._write(visit, request, 503, (), b"too many requests in hand")
@@ -232,8 +235,7 @@
             return await self._await_answer(visit, request, exchange)
         finally:
             self._ids.discard(exchange.call.id)
-            if exchange.leave():  # it ends here without an answer: whatever the reason, tell
-                self._desk.client_gone(exchange)
+            self._desk.client_gone(exchange)  # where it ends here without an answer, whatever the reason
 
     async def _take_long(
         self, visit: "_Visit", request: http1.Request, exchange: Exchange, upload: Upload
@@ -251,7 +253,7 @@
                 pump.result()
                 return await self._await_answer(visit, request, exchange)
             visit.early = True  # the answer ends the connection: what follows on it can't be told apart
-            await self._answer(visit, request, exchange, first.result())
+            await self._answer(visit, request, exchange, _given(first))
             # Whoever still writes may look for the answer only then: to end our side now would cut it off.
             await asyncio.wait((pump,), timeout=REST_AFTER_S)
             return False
@@ -260,8 +262,7 @@
             visit.uploading = None
             pump.add_done_callback(_seen)  # it ends with the connection, if it has not
             self._ids.discard(exchange.call.id)
-            if exchange.leave():
-                self._desk.client_gone(exchange)
+            self._desk.client_gone(exchange)
 
     async def _pump(self, visit: "_Visit", exchange: Exchange, upload: Upload) -> None:
         """Read the body. Its last byte begins the request's time."""
@@ -278,7 +279,7 @@
                 self._progress(visit, len(data))
                 if parser.passing and upload.is_full:
                     visit.blocked = True
-                    await upload.room()
+                    await self._room(visit, upload)
                     visit.blocked, visit.came, visit.since = False, 0, asyncio.get_running_loop().time()
             exchange.came_at = visit.read_at
             exchange.deadline = min(exchange.came_at + exchange.wait_ms, self._life.latest)
@@ -289,19 +290,32 @@
             upload.finish(whole=False)
             raise
 
+    @staticmethod
+    async def _room(visit: "_Visit", upload: Upload) -> None:
+        """Wait until more may be read. Meanwhile only a look tells whether the client is still there."""
+        while upload.is_full:
+            try:
+                async with asyncio.timeout(LOOK_S):
+                    await upload.room()
+            except TimeoutError:
+                if visit.connection.has_ended():
+                    raise ConnectionLostError("the client left within its body") from None
+
     async def _await_answer(self, visit: "_Visit", request: http1.Request, exchange: Exchange) -> bool:
         connection, first = visit.connection, exchange.first()
         while not first.done():
             # A client that has gone shows only while a read is pending.
-            if visit.parser.begun:
-                await first  # it sent on ahead: no more is read until this one is answered
-                break
+            if visit.parser.begun:  # it sent on ahead: no more is read until this one is answered
+                await asyncio.wait((first,), timeout=LOOK_S)
+                if not first.done() and connection.has_ended():
+                    raise ConnectionLostError("the client left behind what it sent ahead")
+                continue
             pending = connection.start_read()
             either: set[asyncio.Future[Any]] = {first, pending}
             await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
             if pending.done() and not first.done():
                 await self._read(visit)
-        return await self._answer(visit, request, exchange, first.result())
+        return await self._answer(visit, request, exchange, _given(first))
 
     async def _answer(
         self, visit: "_Visit", request: http1.Request, exchange: Exchange, answer: Answer | StreamAnswer
@@ -356,7 +370,7 @@
         wanted = self._life.sends_away or self._descriptors.wanted
         return wanted or visit.early or not request.keep_alive
 
-    def _exchange(self, request: http1.Request, came_at: float) -> Exchange:
+    def _exchange(self, request: http1.Request, visit: "_Visit") -> Exchange:
         call = platform.read_call(request)
         index, cls = self._class_of(request, call)
         if call.id in self._ids:  # two answers to one id could not be told apart
@@ -365,6 +379,7 @@
         if self._tenants and call.owner and call.owner not in self._tenants:
             raise http1.MessageError(400, "unknown Req-Owner")
         wait_ms = cls.deadline_ms if call.wait_ms is None else call.wait_ms
+        came_at = visit.read_at
         return Exchange(
             id=self._desk.next_id(),
             cls=index,
@@ -377,6 +392,7 @@
             upload=None if request.whole else Upload(request.body, self._budget),
             wait_ms=wait_ms,
             key=platform.subject_of(request) if cls.in_turn or self._warm_keys else 0,
+            client_ended=visit.connection.has_ended,
         )
 
     def _class_of(self, request: http1.Request, call: platform.Call) -> tuple[int, RequestClass]:
@@ -425,6 +441,13 @@
         raise http1.MessageError(400, "Idempotency-Key on a request of a class that has none")
 
 
+def _given(first: "asyncio.Future[Answer | StreamAnswer]") -> Answer | StreamAnswer:
+    """The answer; none comes where the server side was the first to see that the client has left."""
+    if first.cancelled():
+        raise ConnectionLostError("the client has left")
+    return first.result()
+
+
 def _seen(task: "asyncio.Task[None]") -> None:
     if not task.cancelled():
         task.exception()
--- a/larkcrank/routing/driver.py
+++ b/larkcrank/routing/driver.py
@@ -54,6 +54,7 @@
     refused: int
     failed: int
     clients_gone: int
+    gone_before_send: int
     overdue: int
     unsent_late: int
     crashed: int
@@ -99,6 +100,7 @@
         self._discovery_down = False
         servers.on_outcome = self._attempt_ended
         servers.on_stream = self._stream_started
+        servers.on_client_gone = self.client_gone
         servers.on_probe = self._probe_ended
         discovery.on_list = self.told
         discovery.on_failure = self._discovery_failed
@@ -143,9 +145,23 @@
         )
         return left
 
+    def end_by(self, latest: float) -> None:
+        """What is open has its answer by then, whatever its client would wait: we are gone after that."""
+        for exchange in self._open.values():
+            if exchange.id in self._guards and latest < exchange.deadline:
+                exchange.deadline = latest
+                self._guards.pop(exchange.id).cancel()
+                self._guard(exchange)
+
     def client_gone(self, exchange: Exchange) -> None:
+        """Its client has left. Whoever sees that first tells it; the second time changes nothing."""
+        if not exchange.leave():
+            return
         self._tally.clients_gone += 1
+        if not exchange.written:
+            self._tally.gone_before_send += 1
         self._forget(exchange)
+        self._servers.drop_unwritten(exchange)
         self.feed(ClientGone(exchange.id))
 
     # What the server side and discovery tell
@@ -266,7 +282,7 @@
         index = exchange.attempts
         exchange.attempts += 1
         stop_at = min(action.stop_at_ms or exchange.deadline, exchange.deadline)
-        self._servers.start(exchange, index, action.address, stop_at)
+        self._servers.start(exchange, index, action.address, stop_at, action.begin_by_ms)
 
     def _finish(self, exchange: Exchange, status: int, lines: tuple[bytes, ...], how: str) -> None:
         self._forget(exchange)
@@ -278,6 +294,7 @@
         if not exchange.written and spent > (exchange.deadline - exchange.came_at) / 2:
             self._tally.unsent_late += 1
         exchange.answer(status, lines, how.encode())
+        self._servers.drop_unwritten(exchange)
 
     def _overdue(self, exchange: Exchange) -> None:
         """The deadline has passed and nothing was decided: the client is not left without an answer."""
--- a/larkcrank/routing/exchange.py
+++ b/larkcrank/routing/exchange.py
@@ -139,6 +139,7 @@
     attempts: int = 0
     written: int = 0  # attempts whose last byte was handed over
     closed: bool = False  # it has its final answer, or the client has gone
+    left: bool = False  # the client went before it had one
     _first: asyncio.Future[Answer | StreamAnswer] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
@@ -146,6 +147,8 @@
     _moved: asyncio.Event = field(default_factory=asyncio.Event)
     broken: bool = False  # a stream that could not be finished
     on_left: Callable[[], None] | None = None  # while a stream is under way
+    # A look at the client's connection just now: its end may not have been read yet.
+    client_ended: Callable[[], bool] = lambda: False
 
     # Server side
 
@@ -201,7 +204,7 @@
             self.on_left()  # an endpoint that is silent just now would not notice
         if self.closed:
             return False
-        self.closed = True
+        self.closed = self.left = True
         if self.upload is not None:
             self.upload.end()
         self._first.cancel()
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -36,6 +36,7 @@
         "_report",
         "address",
         "answered",
+        "begin_by",
         "begun",
         "connection",
         "ended",
@@ -52,11 +53,13 @@
         index: int,
         address: Address,
         started: float,
+        begin_by: float,
         report: "Callable[[Attempt, Result, tuple[float, ...]], None]",
     ) -> None:
         self.exchange, self.index, self.address, self.started = exchange, index, address, started
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.begin_by = begin_by
         self.begun = False  # its first byte was handed over
         self.written = False  # and its last one
         self.answered = False  # a long answer has begun
@@ -109,6 +112,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.on_outcome: Callable[[Attempt, Result, tuple[float, ...]], None] = lambda *_: None
         self.on_stream: Callable[[Attempt], None] = lambda _: None
+        self.on_client_gone: Callable[[Exchange], None] = lambda _: None
         self.on_probe: Callable[[Address, Result, float, tuple[float, ...]], None] = lambda *_: None
 
     @property
@@ -145,9 +149,11 @@
         self._ready.discard(address)
         self._pool.close_to(address)
 
-    def start(self, exchange: Exchange, index: int, address: Address, stop_at: float) -> None:
+    def start(
+        self, exchange: Exchange, index: int, address: Address, stop_at: float, begin_by: float = math.inf
+    ) -> None:
         now = self._now()
-        attempt = Attempt(exchange, index, address, now, self._ended)
+        attempt = Attempt(exchange, index, address, now, begin_by, self._ended)
         self._attempts[exchange.id, index] = attempt
         if exchange.closed or address not in self._places or stop_at <= now:
             attempt.end(Result.NOT_SENT)
@@ -169,8 +175,20 @@
 
     def cancel(self, number: int, index: int) -> None:
         attempt = self._attempts.get((number, index))
-        if attempt is not None:
-            attempt.end(Result.CANCELLED)
+        if attempt is not None:  # without its first byte it can't have run, and nothing need wait for that
+            attempt.end(Result.CANCELLED if attempt.begun else Result.NOT_SENT)
+
+    def drop_unwritten(self, exchange: Exchange) -> None:
+        """The request is over: what of it is not out yet stays here, also where nothing may be cancelled.
+
+        Whether the kernel has just taken the last byte of one that has begun is not known here yet.
+        """
+        for index in range(exchange.attempts):
+            attempt = self._attempts.get((exchange.id, index))
+            if attempt is not None and not attempt.written:
+                if attempt.begun and attempt.connection is not None:
+                    attempt.connection.break_off()  # the endpoint must not take it for the whole
+                self.cancel(exchange.id, index)
 
     def close_idle(self, address: Address) -> None:
         self._pool.close_to(address)
@@ -189,6 +207,7 @@
         unanswered = (
             attempt.written
             and not attempt.answered
+            and not attempt.exchange.left  # a client that does not wait tells nothing of the server
             and result in (Result.TIMEOUT, Result.CANCELLED)
             and waited
         )
@@ -225,8 +244,12 @@
         if attempt.ended:
             return
         exchange, address = attempt.exchange, attempt.address
-        if exchange.closed or address not in self._ready:
-            # Meanwhile the request got its answer, or the server left: nothing new goes out.
+        if not exchange.closed and exchange.client_ended():
+            self.on_client_gone(exchange)  # seen here first: its end waits to be read, or behind unread bytes
+        if attempt.ended:
+            return
+        if exchange.closed or address not in self._ready or self._now() >= attempt.begin_by:
+            # Meanwhile it got its answer, the server left or its key's window closed: nothing new goes out.
             attempt.end(Result.NOT_SENT)
             return
         self._tally.sends += 1
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import select
 import socket
 import struct
 
@@ -94,6 +95,22 @@
             pass
         return False
 
+    def has_ended(self) -> bool:
+        """The other side has ended it, whether or not that was read. Unread bytes may stand before the end:
+        these hide it from a read, but not from the kernel."""
+        if self.closed:
+            return True
+        try:
+            if not self.stream.socket.recv(1, _PEEK):
+                return True
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+        poll = select.poll()
+        poll.register(self.stream.socket, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def close(self) -> None:
         """Close at once; the one place where the descriptor is given back."""
         if self._closed:
