--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -33,6 +33,7 @@
 OWED_LATE = 5.0  # the same where a late answer still earns something
 OWED_TIMES = 3.0  # times the usual number of attempts out, at all servers together ...
 OWED_SHARED = 2.0  # ... and so many more a server, shared by all instances: thin ones add up
+CHEAP_PART = 0.8  # of these places that are open to what is worth least: the last are for what is worth more
 CHANCE_ALL = 1.5  # standard deviations of chance in the number out, at all servers together ...
 CHANCE_OWED = 2.0  # ... and at one
 OWED_LEAST = 1.5  # places a server and its shared ones: a single one is lost with one lost answer
@@ -449,7 +450,7 @@
         if job.index in self._stuck:
             return out.count(job.index) >= max(self._all_due / len(self._usual), 1.0)
         owed = len(self._attempts) - sum(index in self._stuck for index in out)
-        return owed >= max(self._owe_all * job.cls.worth / (self._worth or 1.0), 1.0)
+        return owed >= max(self._owe_all * max(job.cls.worth / (self._worth or 1.0), CHEAP_PART), 1.0)
 
     def _send(self, job: Job, server: Server) -> None:
         attempt = Attempt(server, self._now, job.index)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 from collections import Counter
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -345,6 +346,24 @@
     assert sends(desk.take(BOOK, left=5000.0)[1])
 
 
+@pytest.mark.parametrize("dear", [4.0, 40.0])
+def test_what_is_worth_far_less_than_the_rest_still_has_most_places(dear: float) -> None:
+    """Its part of them was its worth over the mean: where worths lie far apart, a cheap class was refused on
+    days on which the servers were not even full, and nobody gained by it."""
+    cheap = replace(CLASSES[VIEW], worth=1.0)
+    desk = Desk(servers=20, classes=(cheap, replace(CLASSES[TAKE], worth=dear)))
+    for _ in range(200):  # answers in time for ten at once
+        numbers = [desk.take(TAKE, left=4000.0)[0] for _ in range(10)]
+        desk.wait(50.0)
+        for number in numbers:
+            desk.end(number, elapsed=50.0)
+    most = int(desk.balancer._owe_all)
+    assert most >= 10
+    for _ in range(most // 2):
+        desk.take(TAKE, left=4000.0)
+    assert len(sends(desk.take(VIEW)[1])) == 1
+
+
 def test_a_request_worth_nothing_is_still_served() -> None:
     desk = Desk(classes=(RequestClass("free", Effect.SAFE, Group.ALL, 1000.0, 2500.0, 5000.0, 0.0),))
     assert len(desk.turns(3, gap=100.0)) == 3
