--- a/tests/test_crossings_life.py
+++ b/tests/test_crossings_life.py
@@ -4,13 +4,19 @@
 things within one turn of the loop. No sleep has to hit anything.
 """
 
+import asyncio
+import io
+import os
 import signal
+import socket
+import tempfile
 from pathlib import Path
 
 import msgspec
 import pytest
 
-from larkcrank.program import sidecar
+from larkcrank.program import handover, sidecar
+from larkcrank.program.log import Log
 from larkcrank.protocol import http1
 from tests import bed as b
 from tests.frames import CONFIG
@@ -80,3 +86,38 @@
             assert bed.sidecar.clients.open == 0 and bed.sidecar._servers.under_way == 0
 
     b.run(work())
+
+
+def test_an_end_that_comes_while_the_predecessor_is_heard(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The start is over before all is closed: nothing that it had begun stays open, twice told or not."""
+    monkeypatch.setattr(handover, "ASK_S", 3600.0)
+    monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))
+
+    async def work() -> None:
+        heard, gone = asyncio.Event(), asyncio.Event()
+
+        async def say_nothing(reader: b.Reader, writer: b.Writer) -> None:
+            heard.set()
+            await reader.read()
+            gone.set()
+            writer.close()
+
+        before = await asyncio.start_unix_server(say_nothing, str(handover.path_in(str(tmp_path), "n0")))
+        passed = socket.create_server(("127.0.0.1", 0))
+        async with b.bed(discovery_up=False) as bed:
+            one = sidecar.Sidecar(bed.read(), Log("n0", log := io.BytesIO()), bed.read, passed.dup())
+            running = asyncio.create_task(one.run())
+            await heard.wait()
+            os.kill(os.getpid(), signal.SIGTERM)
+            os.kill(os.getpid(), signal.SIGHUP)
+            one.end()
+            await running
+            await gone.wait()
+            assert b'"event":"ended"' in log.getvalue() and b'"event":"ready"' not in log.getvalue()
+            assert one.descriptors.used == 0
+        passed.close()
+        before.close()
+
+    b.run(work())
