Scale: hollow sidecars, many in a process, and a stand-in for discovery at scale

Hollow: the program's own watch, driver, balancer, server side, clock and the fleet's part, put together as the program does it, without sockets for clients; each notes when the balancer had handled a list and which changes it told (a change's number rides in the line's weight, which these settings tell the balancer to pass over). The stand-in makes an answer once for all that are as far, and tells what calls, bytes and processor time came to. Processes are owned by their starter and end with it, also where it is killed outright.

--- /dev/null
+++ b/larkcrank/lab/scale/hollow.py
@@ -0,0 +1,492 @@
+"""Hollow sidecars: the program's own parts without sockets for clients, many in a process.
+
+Real, as the program has it: discovery's watch and its connections, the parser of lists, driver, balancer,
+server side, clock and, where `fleet` is configured, the view, ranks, lists in common and their datagrams.
+Left out: the clients' and the operators' listeners and what is behind them, signals, log lines (events are
+counted), the handover. Shared by those of a process, unlike in service: interpreter, code, settings, loop.
+
+A host process (`python -m larkcrank.lab.scale.hollow`) reads its `Spec` as the first line of standard input,
+then orders: `serving` (answered once each has a list in force), `report`, `forget` (what was seen so far),
+`rest` (the garbage that starting left is collected and the rest frozen, as the program does after its start).
+It ends with its standard input. `HollowHosts` owns many.
+"""
+
+import asyncio
+import gc
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+import msgspec
+import psutil
+
+from larkcrank.config import sidecar as configuration
+from larkcrank.core.balancer import Balancer
+from larkcrank.core.interface import Action, Event, ServerList
+from larkcrank.lab.scale.children import WAIT_S, Child, Commands, close_all
+from larkcrank.lab.scale.machine import MIB, LimitError, held_mib, look
+from larkcrank.lab.settings import SETTINGS, merged
+from larkcrank.program.clock import Clock
+from larkcrank.program.counters import Counters
+from larkcrank.program.together import Together
+from larkcrank.protocol import http1
+from larkcrank.protocol.discovery import Listing, Names
+from larkcrank.routing.discovery import Discovery
+from larkcrank.routing.driver import Driver
+from larkcrank.routing.servers import Servers
+from larkcrank.transport.budget import Budget
+from larkcrank.transport.descriptors import Descriptors
+from larkcrank.transport.pool import Pool
+
+TAG = 1 << 20  # a line's weight is 1 + the number of its last change / TAG, see `tag`
+SEEN_MOST = 8192  # of a sidecar's lists in force that are kept to be told
+SOCKETS = 1024
+MEMORY_MB = 192.0
+PORT = 7946  # for datagrams, each on a loopback address of its own
+OCTET = 250  # addresses of a net for them
+LOOK_S = 0.01
+STATUS_LINE = len(b"HTTP/1.1 200 OK\r\n")
+
+
+def tag(weight: float) -> int:
+    """The number of the change that made a line what it is; 0: it is as it was at first.
+
+    The settings here call listed weights no sizes, so that the balancer does not go by them; whoever passes
+    lines on passes on the number with them, and it needs no key of its own.
+    """
+    return round((weight - 1.0) * TAG)
+
+
+class Spec(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """What a host process is told."""
+
+    count: int
+    discovery: list[str]  # host:port; sidecar number n asks the n-th, in turn
+    first: int = 0  # the number of its first sidecar
+    settings: dict[str, Any] = {}  # merged into the bench's settings
+    # Merged into the configuration file; in its texts {i} is the sidecar's number, {own} where it may bind
+    # its socket for datagrams, {seed0} to {seed2} those of the first three.
+    config: dict[str, Any] = {}
+    beats: bool = True  # each keeps the program's beat of 20 ms; off: idle time is then without it
+    spread_s: float = 0.0  # over which they start
+    seed: int = 1
+
+
+class Seen(msgspec.Struct, array_like=True):
+    """One list in force: the balancer had handled it. Numbers are those of `tag`."""
+
+    at: float  # seconds on the machine's monotonic clock, the same in all processes
+    generation: int
+    whole: bool
+    lines: int
+    first: int  # the least change that a line of it tells ...
+    last: int  # ... and the highest
+
+
+class HollowReport(msgspec.Struct):
+    """One sidecar's."""
+
+    number: int
+    began: float  # monotonic seconds
+    serving: float | None  # when its first list with a line in it was in force
+    servers: int  # in the balancer's list, told as places
+    generation: int | None
+    seen: list[Seen]
+    unseen: int  # lists in force beyond SEEN_MOST
+    bytes_in: int  # of discovery's answers, heads and bodies
+    bytes_out: int
+    calls: int
+    failures: int
+    crashed: int
+    events: dict[str, int]  # what it would have logged, by event
+    together: dict[str, Any] = {}  # counters of the fleet's part
+
+    def in_force(self, change: int) -> float | None:
+        """When a list was in force that tells this change or a later one; None: not yet."""
+        return next((one.at for one in self.seen if one.last >= change), None)
+
+
+class HostReport(msgspec.Struct):
+    """One process's."""
+
+    pid: int
+    cpu_s: float  # since its start
+    rss_mib: float
+    uss_mib: float  # that is its own
+    hollows: list[HollowReport]
+
+
+class _Journal:
+    """Counts what the program would log."""
+
+    def __init__(self) -> None:
+        self.events: Counter[str] = Counter()
+
+    def event(self, name: str, **fields: object) -> None:
+        self.events[name] += 1
+
+    def failure(self, where: str, error: BaseException) -> None:
+        self.events[f"crashed: {where}: {error!r}"[:200]] += 1
+
+
+class _Watching:
+    """Decisions, and a note of when each list was in force."""
+
+    def __init__(self, balancer: Balancer, seen: Callable[[ServerList], None]) -> None:
+        self._balancer, self._seen = balancer, seen
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        actions = self._balancer.handle(now, event)
+        if isinstance(event, ServerList):
+            self._seen(event)
+        return actions
+
+
+class _CountedLine:
+    """A connection to discovery, and the bytes that its calls take."""
+
+    def __init__(self, line: Any, count: "Callable[[int, int], None]") -> None:
+        self._line, self._count = line, count
+
+    async def get(self, target: bytes) -> http1.Response:
+        response: http1.Response = await self._line.get(target)
+        head = STATUS_LINE + sum(len(field.line) + 2 for field in response.fields) + 2
+        self._count(head + len(response.body), len(http1.request_bytes(b"GET", target, (b"Host: " + HOST,))))
+        return response
+
+    def close(self) -> None:
+        self._line.close()
+
+
+HOST = b"127.0.0.1:65535"  # as long as one mostly is
+
+
+class _CountedDiscovery(Discovery):
+    """Discovery's watch as it is, with its bytes counted."""
+
+    bytes_in = bytes_out = 0
+
+    async def _ask(self, line: Any, wait_ms: int | None) -> Exception | None:
+        return await super()._ask(_CountedLine(line, self._add), wait_ms)  # type: ignore[arg-type]
+
+    def _add(self, came: int, went: int) -> None:
+        self.bytes_in += came
+        self.bytes_out += went
+
+
+class _QuietClock(Clock):
+    def beat(self) -> None:
+        pass
+
+
+def own_place(number: int) -> str:
+    """Where a sidecar may bind its socket for datagrams."""
+    return f"127.{100 + number // OCTET**2}.{number // OCTET % OCTET}.{number % OCTET + 1}:{PORT}"
+
+
+class Hollow:
+    """One sidecar. It is put together as `program.sidecar` does it."""
+
+    def __init__(self, number: int, config: configuration.Config, beats: bool, rng: Random) -> None:
+        self.number = number
+        self.began = time.monotonic()
+        self.serving: float | None = None
+        self.journal = _Journal()
+        self.counters = Counters()
+        self._seen: deque[Seen] = deque(maxlen=SEEN_MOST)
+        self._seen_count = 0
+        site = config.site
+        self._clock = Clock() if beats else _QuietClock()
+        self._names = Names(list(site.zones), list(site.kinds))
+        descriptors = Descriptors(config.sockets)
+        self._pool = Pool(descriptors, site.keepalive_ms)
+        self._servers = Servers(
+            self._pool,
+            descriptors,
+            site.connect_timeout_ms,
+            site.load_fields,
+            config.max_body,
+            Budget(config.memory_mb * MIB),
+            self._clock,
+            self.counters,
+            self.journal.failure,
+            site.decisions.only_draining_binds,
+        )
+        self._discovery = _CountedDiscovery(
+            config.discovery,
+            descriptors,
+            self._names,
+            site.connect_timeout_ms,
+            not site.decisions.must_ask,
+            Random(rng.getrandbits(64)),
+            self.counters,
+            self.journal.failure,
+        )
+        self._listed: set[bytes] = set()
+        balancer = Balancer(site.decisions, Random(rng.getrandbits(64)), self._clock())
+        self._driver = Driver(
+            _Watching(balancer, self._in_force),
+            self._clock,
+            self._servers,
+            self._discovery,
+            site.max_open,
+            site.grace_ms,
+            self.counters,
+            self.journal,
+        )
+        self._balancer = balancer
+        self._must_ask = site.decisions.must_ask
+        self._together: Together | None = None
+        if config.fleet is not None:
+            shared = Random(rng.getrandbits(64))
+            self._together = Together(config, self._names, self._clock, self.journal, self._driver, shared)
+
+    def start(self) -> None:
+        """As a sidecar with no list held: discovery is asked."""
+        known: Listing | None = None
+        if self._together is not None:
+            self._together.attach(self._discovery)
+            known = self._together.known(None)
+        self._driver.told(known if known is not None else Listing(0, True, ()), cached=True)
+        if not self._must_ask:
+            self._discovery.watch()
+        self._clock.beat()
+        if self._together is not None:
+            self._together.start()
+
+    def close(self) -> None:
+        if self._together is not None:
+            self._together.close()
+        self._discovery.close()
+        self._pool.close()
+
+    def forget(self) -> None:
+        """What was seen so far is not told any more."""
+        self._seen.clear()
+        self._seen_count = 0
+
+    def report(self) -> HollowReport:
+        return HollowReport(
+            number=self.number,
+            began=self.began,
+            serving=self.serving,
+            servers=len(self._servers.places()),
+            generation=self._discovery.generation,
+            seen=list(self._seen),
+            unseen=self._seen_count - len(self._seen),
+            bytes_in=self._discovery.bytes_in,
+            bytes_out=self._discovery.bytes_out,
+            calls=self.counters.discovery_calls,
+            failures=self.counters.discovery_failures,
+            crashed=self.counters.crashed,
+            events=dict(self.journal.events),
+            together={} if self._together is None else self._together.counters(),
+        )
+
+    def _in_force(self, event: ServerList) -> None:
+        if not event.endpoints:
+            return
+        at = time.monotonic()
+        if self.serving is None:
+            self.serving = at
+        tags = [tag(endpoint.size) for endpoint in event.endpoints]
+        self._seen.append(Seen(at, event.revision, event.complete, len(tags), min(tags), max(tags)))
+        self._seen_count += 1
+
+
+def configured(spec: Spec) -> configuration.Config:
+    """The configuration that all of a host share but for names and addresses. Raises `ConfigError`."""
+    return _parse(spec, spec.first)
+
+
+def _parse(spec: Spec, number: int) -> configuration.Config:
+    file = merged(
+        {
+            "name": f"hollow-{number}",
+            "listen": "127.0.0.1:0",  # never bound
+            "discovery": spec.discovery[number % len(spec.discovery)],
+            "settings": merged(SETTINGS, spec.settings),
+            "seed": f"{spec.seed * 1_000_003 + number:x}",
+            "limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB},
+        },
+        _with_texts(spec.config, number),
+    )
+    return configuration.parse(msgspec.json.encode(file), {})
+
+
+def _with_texts(value: Any, number: int) -> Any:
+    if isinstance(value, str):
+        seeds = {f"seed{other}": own_place(other) for other in range(3)}
+        return value.format(i=number, own=own_place(number), **seeds)
+    if isinstance(value, dict):
+        return {key: _with_texts(one, number) for key, one in value.items()}
+    return [_with_texts(one, number) for one in value] if isinstance(value, list) else value
+
+
+class Host:
+    """Hollow sidecars of one process, on its loop."""
+
+    def __init__(self, spec: Spec) -> None:
+        self._spec = spec
+        self.hollows: list[Hollow] = []
+
+    async def start(self) -> None:
+        spec, shared = self._spec, configured(self._spec)
+        for index in range(spec.count):
+            number = spec.first + index
+            one = _parse(spec, number) if index else shared
+            config = replace(one, site=shared.site, settings=shared.settings)
+            hollow = Hollow(number, config, spec.beats, Random(config.seed))
+            self.hollows.append(hollow)
+            hollow.start()
+            await asyncio.sleep(spec.spread_s / spec.count)
+
+    def serving(self) -> int:
+        """How many have a list in force."""
+        return sum(hollow.serving is not None for hollow in self.hollows)
+
+    def report(self, brief: bool = False) -> HostReport:
+        process = psutil.Process()
+        memory = process.memory_full_info()
+        hollows = [] if brief else [hollow.report() for hollow in self.hollows]
+        cpu_s = time.process_time()
+        return HostReport(process.pid, cpu_s, memory.rss / MIB, memory.uss / MIB, hollows)
+
+    def close(self) -> None:
+        for hollow in self.hollows:
+            hollow.close()
+
+
+async def _serve() -> None:
+    commands = Commands()
+    await commands.open()
+    host = Host(msgspec.json.decode(await commands.spec(), type=Spec))
+    starting = asyncio.get_running_loop().create_task(host.start())
+    commands.say("ready")
+    try:
+        while (order := await commands.next()) is not None:
+            match order["do"]:
+                case "serving":
+                    while not starting.done() or host.serving() < len(host.hollows):
+                        await asyncio.sleep(LOOK_S)
+                    starting.result()
+                case "rest":
+                    gc.unfreeze()
+                    gc.collect()
+                    gc.freeze()
+                case "forget":
+                    for hollow in host.hollows:
+                        hollow.forget()
+                case "report":
+                    told = host.report(brief=order.get("brief", False))
+                    commands.say("report", report=told)
+                    continue
+            commands.say(order["do"])
+    finally:
+        starting.cancel()
+        host.close()
+
+
+class HollowHosts:
+    """`spec.count` hollow sidecars in as many processes as `each` makes of them. Who makes it closes it.
+
+        hosts = HollowHosts(Spec(count=1000, discovery=["127.0.0.1:8500"]), each=250)
+        try:
+            await hosts.start()            # the processes are there
+            await hosts.serving()          # every sidecar has a list in force
+            reports = await hosts.collect()
+        finally:
+            await hosts.close()            # none is left
+
+    `stop`, `go_on` and `kill` take the index of a host, from 0; one that was killed is not asked any more.
+    Raises `ChildError`, and `LimitError` where the machine does not allow it.
+    """
+
+    def __init__(self, spec: Spec, each: int) -> None:
+        self.spec = spec
+        firsts = range(spec.first, spec.first + spec.count, each)
+        parts = [min(each, spec.first + spec.count - first) for first in firsts]
+        self._machine = look()
+        per = 2 if "fleet" in spec.config else 1
+        self._machine.check(len(parts), 0.0, per * each)
+        self.hosts = [
+            Child(
+                f"host {index}",
+                "larkcrank.lab.scale.hollow",
+                msgspec.structs.replace(spec, first=first, count=count),
+            )
+            for index, (first, count) in enumerate(zip(firsts, parts, strict=True))
+        ]
+
+    @property
+    def live(self) -> list[Child]:
+        """Those that are there."""
+        return [host for host in self.hosts if host.lives]
+
+    @property
+    def pids(self) -> list[int]:
+        return [host.pid for host in self.live]
+
+    async def start(self) -> None:
+        """Start the processes, one after another; their sidecars begin over `spec.spread_s` each."""
+        for host in self.hosts:
+            await host.start()
+            self._check_memory()
+
+    def _check_memory(self) -> None:
+        held = held_mib(self.pids)
+        if held > self._machine.memory_mib:
+            raise LimitError(f"{held:.0f} MiB are held, over half of the machine's memory")
+
+    async def serving(self) -> None:
+        """Until every sidecar has a list in force."""
+        await asyncio.gather(*(host.call("serving") for host in self.live))
+        self._check_memory()
+
+    async def rest(self) -> None:
+        """Collect what starting left, and freeze the rest."""
+        await asyncio.gather(*(host.call("rest") for host in self.live))
+
+    async def forget(self) -> None:
+        await asyncio.gather(*(host.call("forget") for host in self.live))
+
+    async def collect(self, brief: bool = False) -> list[HostReport]:
+        """A report of every process; `brief`: without its sidecars'."""
+        told = await asyncio.gather(*(host.call("report", brief=brief) for host in self.live))
+        return [msgspec.convert(one["report"], HostReport) for one in told]
+
+    async def until(
+        self, true: Callable[[HollowReport], bool], wait_s: float = WAIT_S, look_s: float = 0.25
+    ) -> list[HostReport]:
+        """Collect until this is so of every sidecar. Raises TimeoutError."""
+        async with asyncio.timeout(wait_s):
+            while True:
+                reports = await self.collect()
+                if all(true(hollow) for host in reports for hollow in host.hollows):
+                    return reports
+                await asyncio.sleep(look_s)
+
+    def cpu_s(self) -> float:
+        """Processor time of all of them so far."""
+        return sum(host.cpu_s() for host in self.live)
+
+    def stop(self, index: int) -> None:
+        """SIGSTOP."""
+        self.hosts[index].stop()
+
+    def go_on(self, index: int) -> None:
+        self.hosts[index].go_on()
+
+    async def kill(self, index: int) -> None:
+        """SIGKILL; its sidecars are not told of any more."""
+        await self.hosts[index].kill()
+
+    async def close(self) -> None:
+        await close_all(self.hosts)
+
+
+if __name__ == "__main__":
+    asyncio.run(_serve())
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,13 +1,24 @@
 """Scale tests: the fit, hollow sidecars beside the stand-in for discovery, refusals, and the end."""
 
+import asyncio
+import contextlib
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Coroutine
 from pathlib import Path
 from random import Random
+from typing import Any
 
+import psutil
 import pytest
 
+from larkcrank.lab.scale import registry as registries
 from larkcrank.lab.scale import slopes
 from larkcrank.lab.scale.fit import FitError, fit
+from larkcrank.lab.scale.hollow import HollowHosts, Spec, tag
+from larkcrank.protocol.discovery import Names, parse
 
+LONG_S = 120.0  # nothing is timed by it: it ends a test that hangs
 SIZES = (30.0, 300.0, 1200.0, 3000.0, 12000.0)
 
 
@@ -76,3 +87,124 @@
     (tmp_path / "two.json").unlink()
     assert slopes.read(tmp_path) == {"one": one}
     assert one.linear and one.low < 2.0 < one.high
+
+
+# Hollow sidecars and the stand-in for discovery
+
+
+def test_a_change_reaches_every_hollow_sidecar_and_is_counted_once() -> None:
+    async def play() -> None:
+        async with _fleet(members=6, each=2, endpoints=10) as (registry, hosts):
+            before = await registry.account()
+            assert (before.connections, before.waiting, before.lists) == (6, 6, 6)
+            numbers = await registry.change(3, each=1)
+            numbers += await registry.change(4)
+            reports = await hosts.until(lambda hollow: hollow.in_force(numbers[-1]) is not None)
+            hollows = [hollow for host in reports for hollow in host.hollows]
+            assert sorted(hollow.number for hollow in hollows) == list(range(6))
+            told = await registry.account()
+            assert numbers == list(range(2, 9)) and list(told.told) == numbers
+            for hollow in hollows:
+                whole, *changes = hollow.seen
+                assert whole.whole and whole.lines == 10 and hollow.servers == 10
+                assert sum(one.lines for one in changes) == 7 and not any(one.whole for one in changes)
+                assert [one.first for one in changes] == sorted(one.first for one in changes)
+                assert hollow.generation == 8 and hollow.failures == hollow.crashed == hollow.unseen == 0
+                at = hollow.in_force(numbers[-1])
+                assert at is not None and at >= told.told[numbers[-1]][0]
+            assert sum(hollow.bytes_in for hollow in hollows) == told.bytes_out
+            assert told.made <= 1 + 6 * 4  # one a generation and how far: not one a watcher
+
+    _run(play())
+
+
+def test_answers_are_made_once_for_all_that_are_as_far() -> None:
+    listed = registries.Listed(registries.Spec(endpoints=100, services=4))
+    first = [listed.answer(None) for _ in range(1000)]
+    assert listed.made == 1 and all(one is first[0] for one in first)
+    numbers = [listed.change("flip") for _ in range(364)]
+    behind = [listed.answer(1) for _ in range(1000)]
+    assert listed.made == 2 and all(one is behind[0] for one in behind)
+    told = parse(listed.answer(1).partition(b"\r\n\r\n")[2], Names([], []))
+    assert not told.whole and told.generation == 365 and len(told.endpoints) == 100
+    assert max(tag(endpoint.size) for endpoint in told.endpoints) == numbers[-1]
+    assert {endpoint.cell for endpoint in told.endpoints} == {0, 1, 2, 3}
+    ahead = parse(listed.answer(9999).partition(b"\r\n\r\n")[2], Names([], []))
+    assert ahead.whole  # another discovery's count
+
+
+def test_who_is_further_behind_than_the_log_reaches_is_told_the_whole_list() -> None:
+    listed = registries.Listed(registries.Spec(endpoints=5))
+    for _ in range(2 * registries.LOG_MOST + 1):
+        listed.change("flip")
+    assert parse(listed.answer(2).partition(b"\r\n\r\n")[2], Names([], [])).whole
+    assert not parse(listed.answer(listed.generation - 3).partition(b"\r\n\r\n")[2], Names([], [])).whole
+
+
+def test_a_killed_host_is_not_asked_and_none_is_left() -> None:
+    async def play() -> None:
+        async with _fleet(members=4, each=2, endpoints=3) as (_, hosts):
+            pids = hosts.pids
+            await hosts.kill(0)
+            reports = await hosts.collect()
+            assert [hollow.number for host in reports for hollow in host.hollows] == [2, 3]
+        assert not any(psutil.pid_exists(pid) for pid in pids)
+
+    _run(play())
+
+
+def test_a_host_ends_with_its_owner() -> None:
+    """An owner that is killed outright closes nothing: its children go all the same."""
+    text = (
+        "import asyncio\n"
+        "from larkcrank.lab.scale import hollow, registry\n"
+        "async def main():\n"
+        "    r = registry.RegistryProcess(registry.Spec(endpoints=3))\n"
+        "    h = hollow.HollowHosts(hollow.Spec(count=2, discovery=[await r.start()]), 1)\n"
+        "    await h.start()\n"
+        "    print(r.child.pid, *h.pids, flush=True)\n"
+        "    await asyncio.Event().wait()\n"
+        "asyncio.run(main())\n"
+    )
+    owner = subprocess.Popen([sys.executable, "-c", text], stdout=subprocess.PIPE, text=True)
+    try:
+        assert owner.stdout is not None
+        children = [psutil.Process(int(pid)) for pid in owner.stdout.readline().split()]
+        assert len(children) == 3
+    finally:
+        owner.kill()
+        owner.wait()
+        assert owner.stdout is not None
+        owner.stdout.close()
+    _, alive = psutil.wait_procs(children, timeout=LONG_S)
+    assert not alive
+
+
+@contextlib.asynccontextmanager
+async def _fleet(
+    members: int, each: int, endpoints: int
+) -> AsyncIterator[tuple[registries.RegistryProcess, HollowHosts]]:
+    """All have their first list in force, and watch."""
+    registry = registries.RegistryProcess(registries.Spec(endpoints=endpoints))
+    hosts: HollowHosts | None = None
+    try:
+        place = await registry.start()
+        patient = {"bounds": {"connect-timeout-ms": LONG_S * 1000.0}}
+        hosts = HollowHosts(Spec(count=members, discovery=[place], settings=patient, beats=False), each)
+        await hosts.start()
+        await hosts.serving()
+        while (await registry.account()).waiting < members:
+            await asyncio.sleep(0.01)
+        yield registry, hosts
+    finally:
+        if hosts is not None:
+            await hosts.close()
+        await registry.close()
+
+
+def _run(work: Coroutine[Any, Any, None]) -> None:
+    async def limited() -> None:
+        async with asyncio.timeout(LONG_S):
+            await work
+
+    asyncio.run(limited())
