--- /dev/null
+++ b/larkcrank/lab/scale/path.py
@@ -0,0 +1,367 @@
+"""What a sidecar adds to a call, by stage and in whole, and what that makes of calls in a row.
+
+One real sidecar on loopback; clients, endpoints and discovery are this process. Calls with the sidecar and
+without it come by turns at random moments in the same run, so that a busy machine does the same to both.
+The endpoint answers at its moment: what is added is the way there and the way back, the service left out.
+"""
+
+import asyncio
+import gc
+import itertools
+import os
+import re
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import cast
+
+import msgspec
+import numpy
+import uvloop
+
+from larkcrank.lab.processes import Child
+from larkcrank.lab.scale.alarm import Alarm
+from larkcrank.lab.scale.stamped import FILE, STAGES, Stamps
+from larkcrank.lab.settings import SETTINGS, merged
+
+RATES = (20, 80, 200, 400)  # calls a second of one sidecar; 940,000 over 12,000 are 78
+SEEDS = (1, 2, 3)
+ENDPOINTS = 28  # of a service
+SERVICE_S = 0.004
+LEAST_CALLS, LEAST_S = 2000, 10.0
+WARM_S = 3.0
+IDLE_S = 5.0
+CONNECTIONS = 24  # opened beforehand; more are opened where all are busy
+LATEST_S = 5.0  # after the last call its answer must have come
+DEEP = 7
+DRAWS = 200_000
+
+_ID = re.compile(rb"\r\nReq-Id: ([^\r]+)\r\n", re.IGNORECASE)
+_REQUEST = (
+    b"GET /look/1 HTTP/1.1\r\nHost: shop.local\r\nAccept: application/json\r\nUser-Agent: bench/1\r\n"
+    b"Req-Kind: look\r\nReq-Deadline: 2.0\r\nReq-Id: %s\r\n\r\n"
+)
+_BODY = b"x" * 200
+_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s" % (
+    len(_BODY),
+    _BODY,
+)
+
+
+class PathError(Exception):
+    """The run came to no figure; the message says why."""
+
+
+@dataclass(slots=True)
+class Asked:
+    """One call's moments, by `time.monotonic`."""
+
+    number: str
+    direct: bool
+    sent: float = 0.0
+    came: float = 0.0  # whole at the endpoint
+    left: float = 0.0  # handed over by the endpoint
+    back: float = 0.0
+
+    @property
+    def added_s(self) -> float:
+        return self.came - self.sent + self.back - self.left
+
+
+class _EndpointSide(asyncio.Protocol):
+    def __init__(self, bench: "Bench") -> None:
+        self._bench, self._held = bench, b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        came = time.monotonic()
+        self._held += data
+        if not self._held.endswith(b"\r\n\r\n"):
+            return
+        found, self._held = _ID.search(self._held), b""
+        if found is None:
+            self._transport.abort()
+            return
+        asked = self._bench.calls[found[1].decode()]
+        asked.came = came
+        self._bench.alarm.at(came + SERVICE_S, lambda: self._answer(asked))
+
+    def _answer(self, asked: Asked) -> None:
+        asked.left = time.monotonic()
+        self._transport.write(_ANSWER)
+
+
+class _ClientSide(asyncio.Protocol):
+    def __init__(self, idle: "list[_ClientSide]") -> None:
+        self._idle, self._held = idle, b""
+        self._asked: Asked | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+
+    def send(self, asked: Asked) -> None:
+        self._asked = asked
+        text = _REQUEST % asked.number.encode()
+        asked.sent = time.monotonic()
+        self._transport.write(text)
+
+    def data_received(self, data: bytes) -> None:
+        back = time.monotonic()
+        self._held += data
+        if not self._held.endswith(_BODY) or self._asked is None:
+            return
+        if self._held.startswith(b"HTTP/1.1 200 "):
+            self._asked.back = back
+        self._held, self._asked = b"", None
+        self._idle.append(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self in self._idle:
+            self._idle.remove(self)
+
+
+class _Discovery(asyncio.Protocol):
+    """Its list never changes: whoever watches is told so when the wait is over."""
+
+    def __init__(self, whole: bytes) -> None:
+        self._whole = whole
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        wait = re.search(rb"wait_ms=(\d+)", data)
+        if wait is None:
+            self._say(self._whole)
+        else:
+            none = b'{"generation": 1, "reset": false, "instances": []}'
+            asyncio.get_running_loop().call_later(int(wait[1]) / 1000.0, self._say, none)
+
+    def _say(self, body: bytes) -> None:
+        self._transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+
+class Bench:
+    """Endpoints and clients of one run."""
+
+    def __init__(self, alarm: Alarm, rng: Random) -> None:
+        self.alarm, self._rng = alarm, rng
+        self.calls: dict[str, Asked] = {}
+        self._idle: dict[bool, list[_ClientSide]] = {True: [], False: []}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.opened = 0  # connections beyond those opened beforehand
+
+    async def open(self, direct: bool, port: int) -> None:
+        idle = self._idle[direct]
+        _, side = await asyncio.get_running_loop().create_connection(
+            lambda: _ClientSide(idle), "127.0.0.1", port
+        )
+        idle.append(side)
+
+    def ask(self, number: str, direct: bool, port: int) -> None:
+        asked = self.calls[number] = Asked(number, direct)
+        if idle := self._idle[direct]:
+            idle.pop().send(asked)
+            return
+        self.opened += 1
+        task = asyncio.get_running_loop().create_task(self._ask_late(asked, direct, port))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask_late(self, asked: Asked, direct: bool, port: int) -> None:
+        await self.open(direct, port)
+        self._idle[direct].pop().send(asked)
+
+    def load(self, direct: bool, rate: float, begin: float, end: float, port: Callable[[], int]) -> None:
+        """Calls at random moments, an open loop."""
+        way = "d" if direct else "s"
+
+        def arrive(number: int, when: float) -> None:
+            self.ask(f"{way}{number}", direct, port())
+            following = when + self._rng.expovariate(rate)
+            if following < end:
+                self.alarm.at(following, lambda: arrive(number + 1, following))
+
+        first = begin + self._rng.expovariate(rate)
+        self.alarm.at(first, lambda: arrive(1, first))
+
+
+class Way(msgspec.Struct, frozen=True):
+    """Of calls one way, in ms: there, back and both, at the median and at the 99th in a hundred."""
+
+    calls: int
+    there: tuple[float, float]
+    back: tuple[float, float]
+    both: tuple[float, float]
+
+
+class Stage(msgspec.Struct, frozen=True):
+    """From the stage before to this one, in ms; `processor` is the median of the sidecar's own."""
+
+    median: float
+    p99: float
+    processor: float
+
+
+class Run(msgspec.Struct, frozen=True):
+    """One rate, one seed."""
+
+    rate: float
+    seed: int
+    stamped: bool
+    direct: Way
+    through: Way
+    unanswered: int
+    opened: int
+    idle_ms: float  # processor time a second without a call
+    processor_ms: float  # a second, at this rate
+    waited_ms: float  # a second, that the sidecar was ready to run and another process ran
+    load: float  # of the machine, as its own mean of a minute
+    stages: dict[str, Stage]  # of a stamped run
+    added: list[float]  # each call's, in ms
+
+
+def _ways(calls: list[Asked]) -> Way:
+    there = [1000.0 * (one.came - one.sent) for one in calls]
+    back = [1000.0 * (one.back - one.left) for one in calls]
+    both = [1000.0 * one.added_s for one in calls]
+    return Way(len(calls), *(_middle_and_tail(times) for times in (there, back, both)))
+
+
+def _middle_and_tail(times: list[float]) -> tuple[float, float]:
+    middle, tail = numpy.percentile(times, (50.0, 99.0))
+    return float(middle), float(tail)
+
+
+def _scheduled(pid: int) -> tuple[float, float]:
+    """Processor time and time in the run queue of a process, in ms (proc(5): schedstat)."""
+    spent = waited = 0
+    for task in Path(f"/proc/{pid}/task").iterdir():
+        one = (task / "schedstat").read_text().split()
+        spent, waited = spent + int(one[0]), waited + int(one[1])
+    return spent / 1e6, waited / 1e6
+
+
+def stages_of(calls: list[Asked], stamps: Stamps) -> dict[str, Stage]:
+    """From each stage to the next, from the client's write on, the endpoint's own time left out."""
+    spans: dict[str, list[tuple[float, float]]] = {}
+
+    def add(name: str, ms: float, processor_ms: float) -> None:
+        spans.setdefault(name, []).append((1000.0 * ms, 1000.0 * processor_ms))
+
+    for call in calls:
+        found = stamps.get(call.number, {})
+        if any(stage not in found for stage in STAGES):
+            continue
+        add("read", found["read"][0] - call.sent, 0.0)
+        # The kernel may bring a write to its reader before the call that writes has returned: what follows
+        # it on the way is counted from its beginning, its processor time as if it were done first.
+        for before, stage in itertools.pairwise(STAGES[:5]):
+            add(stage, *(now - then for now, then in zip(found[stage], found[before], strict=True)))
+        add("at the endpoint", call.came - found["going"][0], found["written"][1] - found["going"][1])
+        add("heard", found["heard"][0] - call.left, 0.0)
+        for before, stage in itertools.pairwise(STAGES[6:9]):
+            add(stage, *(now - then for now, then in zip(found[stage], found[before], strict=True)))
+        add("at the client", call.back - found["replying"][0], found["replied"][1] - found["replying"][1])
+    return {
+        stage: Stage(
+            *_middle_and_tail([wall for wall, _ in both]), _middle_and_tail([one for _, one in both])[0]
+        )
+        for stage, both in spans.items()
+    }
+
+
+async def _run(rate: float, seed: int, stamped: bool, folder: Path) -> Run:
+    loop, rng, alarm = asyncio.get_running_loop(), Random(seed), Alarm()
+    bench = Bench(alarm, rng)
+    servers = [
+        await loop.create_server(lambda: _EndpointSide(bench), "127.0.0.1", 0) for _ in range(ENDPOINTS)
+    ]
+    ports = [server.sockets[0].getsockname()[1] for server in servers]
+    lines = [
+        {"instanceId": f"e{index}", "hostPort": f"127.0.0.1:{port}", "zone": "here", "lifecycle": "Ready"}
+        for index, port in enumerate(ports)
+    ]
+    known = {"generation": 1, "reset": True, "instances": lines}
+    discovery = await loop.create_server(lambda: _Discovery(msgspec.json.encode(known)), "127.0.0.1", 0)
+    command = ["python", "-m", "larkcrank.lab.scale.stamped"] if stamped else []
+    child = Child(0, folder, command, lambda *_: None)
+    try:
+        settings = merged(SETTINGS, {"n-instances": 28})
+        address = discovery.sockets[0].getsockname()
+        await child.start(
+            {
+                "name": "s0",
+                "seed": str(seed),
+                "discovery": f"127.0.0.1:{address[1]}",
+                "known": known,
+                "settings": settings,
+            }
+        )
+        assert child.place is not None and child.pid is not None
+        port = child.place[1]
+        for _ in range(CONNECTIONS):
+            await bench.open(False, port)
+            await bench.open(True, rng.choice(ports))
+        await asyncio.sleep(1.0)
+        before = _scheduled(child.pid)[0]
+        await asyncio.sleep(IDLE_S)
+        idle = (_scheduled(child.pid)[0] - before) / IDLE_S
+        gc.collect()
+        gc.disable()
+        last_s = max(LEAST_S, LEAST_CALLS / rate)
+        begin = time.monotonic() + 0.1
+        end = begin + WARM_S + last_s
+        bench.load(False, rate, begin, end, lambda: port)
+        bench.load(True, rate, begin, end, lambda: rng.choice(ports))
+        await asyncio.sleep(begin + WARM_S - time.monotonic())
+        spent, waited = _scheduled(child.pid)
+        await asyncio.sleep(end - time.monotonic())
+        spent, waited = (now - then for now, then in zip(_scheduled(child.pid), (spent, waited), strict=True))
+        until = time.monotonic() + LATEST_S
+        while time.monotonic() < until and any(not one.back for one in bench.calls.values()):
+            await asyncio.sleep(0.05)
+        gc.enable()
+        load = os.getloadavg()[0]
+        await child.end()
+    finally:
+        gc.enable()
+        await child.close()
+        for server in (*servers, discovery):
+            server.close()
+        alarm.close()
+    timed = [one for one in bench.calls.values() if one.sent >= begin + WARM_S]
+    ways = {direct: [one for one in timed if one.direct is direct and one.back] for direct in (True, False)}
+    if not all(ways.values()):
+        raise PathError(f"no answers; the sidecar's last lines: {list(child.lines)}")
+    stamps = msgspec.json.decode((folder / FILE).read_bytes(), type=Stamps) if stamped else {}
+    return Run(
+        rate, seed, stamped, _ways(ways[True]), _ways(ways[False]),
+        sum(not one.back for one in timed), bench.opened, idle, spent / last_s, waited / last_s, load,
+        stages_of(ways[False], stamps), [1000.0 * one.added_s for one in ways[False]],
+    )  # fmt: skip
+
+
+def measure(rate: float, seed: int, stamped: bool = False) -> Run:
+    """Raises `PathError` or `ProcessError`."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner,
+    ):
+        return runner.run(_run(rate, seed, stamped, Path(folder)))
+
+
+def in_a_row(added: list[float], base: float, deep: int, rng: numpy.random.Generator) -> tuple[float, float]:
+    """Median and 99th in a hundred of what `deep` calls one after another are given, in ms.
+
+    `base` is what a call without a sidecar takes on the way; drawn independently from what was measured: a
+    busy moment that holds up all sidecars of a machine at once would make the tail longer.
+    """
+    drawn = rng.choice(numpy.asarray(added) - base, (DRAWS, deep)).sum(axis=1)
+    middle, tail = numpy.percentile(drawn, (50.0, 99.0))
+    return float(middle), float(tail)
