--- a/larkcrank/lab/scale/stamped.py
+++ b/larkcrank/lab/scale/stamped.py
@@ -3,7 +3,8 @@
 Nothing of it is in the program: its functions are wrapped here, in a process of the lab
 (`python -m larkcrank.lab.scale.stamped`). What was read is left in TMPDIR/stamps.json at the planned end.
 The clock is `time.monotonic`, the same for all processes of a machine; beside it stands the thread's own
-processor time, which other processes do not lengthen.
+processor time, which other processes do not lengthen, and at the end of a call the time for which the process
+was ready to run since its start, and another one ran (proc(5): schedstat).
 """
 
 import os
@@ -29,11 +30,13 @@
     "replying",
     "replied",
 )
+QUEUED = "queued"
 
 Moment = tuple[float, float]  # monotonic, and the thread's processor time, in seconds
 Stamps = dict[str, dict[str, Moment]]  # by the request's id
 
 _stamps: Stamps = {}
+_schedule = os.open("/proc/self/schedstat", os.O_RDONLY)
 _fed: dict[str, Moment] = {}  # when a parser of requests, and of answers, was last given bytes
 
 
@@ -102,6 +105,7 @@
         _mark(number_of(request), "replying")
         kept: bool = await write(clients, visit, request, *rest)
         _mark(number_of(request), "replied")
+        _mark(number_of(request), QUEUED, (int(os.pread(_schedule, 64, 0).split()[1]) / 1e9, 0.0))
         return kept
 
     setattr(Clients, "_write", reply)  # noqa: B010 - a wrapper like those above
