--- a/larkcrank/lab/scale/plan.py
+++ b/larkcrank/lab/scale/plan.py
@@ -14,7 +14,9 @@
 import msgspec
 
 from larkcrank.lab.scale import slopes
+from larkcrank.lab.scale.path import STAGE_WORDS
 from larkcrank.lab.scale.slopes import Slope
+from larkcrank.lab.scale.view import RATE_MEMBERS
 
 NUMBERS = Path("examples/scale/operators.toml")
 DAY_S = 86_400.0
@@ -109,7 +111,6 @@
     high: float = 0.0
     formula: str = ""
     series: tuple[str, ...] = ()
-    missing: tuple[str, ...] = ()
     is_beyond: bool = False  # beyond the sizes that were measured
 
     def times(self, factor: float, text: str = "") -> "Figure":
@@ -121,13 +122,14 @@
 
     def plus(self, other: "Figure") -> "Figure":
         known = self.value is not None and other.value is not None
+        if not self.formula:
+            return other
         return Figure(
             (self.value or 0.0) + (other.value or 0.0) if known else None,
             self.low + other.low,
             self.high + other.high,
             f"{self.formula} + {other.formula}",
             self.series + tuple(one for one in other.series if one not in self.series),
-            self.missing + tuple(one for one in other.missing if one not in self.missing),
             self.is_beyond or other.is_beyond,
         )
 
@@ -143,18 +145,20 @@
 
     slopes: Mapping[str, Slope]
     used: dict[str, Slope] = field(default_factory=dict)
+    missing: set[str] = field(default_factory=set)
 
     def at(self, name: str, size: float) -> Figure:
         """The cost at a size, and the 95% interval of its mean."""
         found = self.slopes.get(name)
         if found is None:
-            return Figure(None, formula=f"[{name}] at {shown(size)}", missing=(name,))
+            self.missing.add(name)
+            return Figure(None, formula=f"[{name}] at {shown(size)}")
         self.used[name] = found
         logarithm = found.by.startswith("log10")
         x = math.log10(size) if logarithm else size
         largest = max(point for point, _ in found.points)
         if not found.linear:
-            return _read_off(found, name, x, largest)
+            return self._read_off(found, name, x, largest)
         mean = found.intercept + found.slope * x
         half = half_width(found, x)
         by = f"log10 {shown(size)}" if logarithm else shown(x)
@@ -165,11 +169,12 @@
         """What a size adds to nothing: the slope alone."""
         found = self.slopes.get(name)
         if found is None:
-            return Figure(None, formula=f"[{name}] for {shown(size)}", missing=(name,))
+            self.missing.add(name)
+            return Figure(None, formula=f"[{name}] for {shown(size)}")
         largest = max(point for point, _ in found.points)
         self.used[name] = found
         if not found.linear:
-            at, least = _read_off(found, name, size, largest), _mean(min(found.points)[1])
+            at, least = self._read_off(found, name, size, largest), _mean(min(found.points)[1])
             if at.value is None:
                 return at
             return replace(
@@ -183,6 +188,23 @@
         formula = f"{shown(found.slope)} x {shown(size)}"
         return Figure(found.slope * size, low, high, formula, (name,), is_beyond=size > largest)
 
+    def _read_off(self, slope: Slope, name: str, x: float, largest: float) -> Figure:
+        points = sorted(slope.points)
+        if not points[0][0] <= x <= largest:
+            self.missing.add(f"{name} at {shown(x)}")
+            formula = f"[{name}] is no line, and was not measured at {shown(x)}"
+            return Figure(None, formula=formula, series=(name,))
+        above = next(index for index, (size, _) in enumerate(points) if size >= x)
+        (left, lower), (right, upper) = points[max(above - 1, 0)], points[above]
+        part = 0.0 if right == left else (x - left) / (right - left)
+        mean, more = _mean(lower), _mean(upper)
+        if x == right:
+            return Figure(more, min(upper), max(upper), f"{shown(more)} as measured at {shown(x)}", (name,))
+        value = mean + (more - mean) * part
+        every = lower + upper
+        formula = f"{shown(mean)} + ({shown(more)} - {shown(mean)}) x {shown(part)}, between its points"
+        return Figure(value, min(every), max(every), formula, (name,))
+
     def best(self, name: str) -> str:
         """Real processes' series where there is one, else that of hollow sidecars."""
         return f"{name}-real" if f"{name}-real" in self.slopes else name
@@ -200,23 +222,6 @@
     return t * slope.residual * math.sqrt(1.0 / len(xs) + (x - mean) ** 2 / spread)
 
 
-def _read_off(slope: Slope, name: str, x: float, largest: float) -> Figure:
-    points = sorted(slope.points)
-    if not points[0][0] <= x <= largest:
-        formula = f"[{name}] is no line, and was not measured at {shown(x)}"
-        return Figure(None, formula=formula, series=(name,), missing=(f"{name} at {shown(x)}",))
-    above = next(index for index, (size, _) in enumerate(points) if size >= x)
-    (left, lower), (right, upper) = points[max(above - 1, 0)], points[above]
-    part = 0.0 if right == left else (x - left) / (right - left)
-    mean, more = _mean(lower), _mean(upper)
-    if x == right:
-        return Figure(more, min(upper), max(upper), f"{shown(more)} as measured at {shown(x)}", (name,))
-    value = mean + (more - mean) * part
-    every = lower + upper
-    formula = f"{shown(mean)} + ({shown(more)} - {shown(mean)}) x {shown(part)}, between its points"
-    return Figure(value, min(every), max(every), formula, (name,))
-
-
 def _mean(costs: list[float]) -> float:
     return sum(costs) / len(costs)
 
@@ -253,6 +258,7 @@
 ONE, TIERS = "one discovery", "tiers"
 ORDINARY, RACK, ZONE = "ordinary", "rack or switch lost", "zone lost"
 REGION, POWER = "region apart", "all at once after a power loss"
+MACHINE = "a zone tier's machine lost"
 PATH, CONTROL, BETWEEN = "sidecar, data path", "sidecar, control", "discovery or what stands between"
 VIEW, TOOLS = "members of the view", "operators' tools"
 
@@ -284,6 +290,7 @@
         yield from self._lost(ZONE, self.numbers.lost.zone, "zone")
         yield from self._region()
         yield from self._power()
+        yield from self._machine()
 
     # An ordinary day
 
@@ -363,10 +370,14 @@
         )
 
     def _view_bytes(self) -> Figure:
-        text = f"({shown(self.numbers.day.restarted)} + {self.numbers.day.failed}) / {shown(DAY_S)}"
+        """A member tells a piece of news as often as the logarithm of the members says (membership.py)."""
+        day = self.numbers.day
+        text = f"({shown(day.restarted)} + {day.failed}) / {shown(DAY_S)}"
         more = self.series.growth("view-restart-bytes", self._restarts)
         if more.value is not None:
             more = replace(more, formula=f"{shown(self.series.slopes['view-restart-bytes'].slope)} x {text}")
+        tellings = math.log2(self._all) / math.log2(RATE_MEMBERS)
+        more = more.times(tellings, f"log2 {shown(self._all)} / log2 {RATE_MEMBERS}")
         return self.series.at("view-calm-bytes", self._all).plus(more)
 
     def _ordinary_between(self) -> Iterator[Row]:
@@ -579,15 +590,31 @@
             self.numbers.budgets.bytes_per_s,
         )
 
+    def _machine(self) -> Iterator[Row]:
+        """A zone tier's machine is lost: its sidecars go to a neighbour and take their parts from it."""
+        series, budgets, zone = self.series, self.numbers.budgets, self._zone
+        text = f"{shown(self.numbers.day.changes)} / {shown(DAY_S)}"
+        both = told(2 * zone, f"2 x {shown(self._all)} / {self.numbers.fleet.zones}")
+        yield Row(MACHINE, BETWEEN, TIERS, "state", "zone tier: receivers", both, "watches")
+        spent = series.at("tier-cpu-by-watchers", 2 * zone).times(self._rate / 10.0, f"{text} / 10")
+        yield Row(MACHINE, BETWEEN, TIERS, "processor", "zone tier", spent, "% of a core", 100.0)
+        whole = series.at(series.best("sidecar-list-bytes-by-endpoints"), self._listed[TIERS])
+        sent = whole.times(zone / 1e6, f"{shown(zone)} / 1,000,000")
+        yield Row(MACHINE, BETWEEN, TIERS, "messages", "parts told to those who came", sent, "MB")
+        moved = series.at("tier-failover-by-watchers", zone).times(1e-3, "1 / 1,000")
+        yield Row(
+            MACHINE, BETWEEN, TIERS, "time", "until all are told again", moved, "s", 2 * budgets.in_force_s
+        )
+
 
 # Tables
 
 
 def markdown(plan: Plan) -> str:
     """The tables of the page."""
-    lines = []
-    days = list(dict.fromkeys(row.day for row in plan.rows))
-    for day in days:
+    lines = ["### Budgets, the shortest first", "", *_budgets(plan), ""]
+    lines += ["### The time added to a call, by stage", "", *_stages(plan), ""]
+    for day in dict.fromkeys(row.day for row in plan.rows):
         lines += [f"### {day[0].upper()}{day[1:]}", ""]
         lines.append("| role | way | | what | arithmetic | figure | 95% interval | budget | verdict |")
         lines.append("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
@@ -604,20 +631,66 @@
             f"| {name} ({one.unit}) | {one.by} | {slope} | {interval} | {shown(one.intercept)} "
             f"| {shown(one.residual)} | {sizes} | {one.how} | {one.run} |"
         )
-    missing = sorted({name for row in plan.rows for name in row.figure.missing})
+    missing = sorted(plan.series.missing)
     if missing:
         lines += ["", f"Not measured, so not known: {', '.join(missing)}."]
     return "\n".join(lines) + "\n"
 
 
+def _budgets(plan: Plan) -> list[str]:
+    """Every figure that has a budget, by how many times that it is."""
+    rows = [row for row in plan.rows if row.budget is not None and row.figure.value is not None]
+    rows.sort(key=lambda row: -(row.figure.value or 0.0) / (row.budget or 1.0))
+    lines = ["| times its budget | day | role | way | what | figure | budget | verdict |", "|" + " --- |" * 8]
+    for row in rows:
+        figure, budget = row.figure.value or 0.0, row.budget or 1.0
+        lines.append(
+            f"| {shown(figure / budget)} | {row.day} | {row.role} | {row.way} | {row.kind}: {row.what} "
+            f"| {shown(figure)} {row.unit} | {shown(budget)} {row.unit} | {row.verdict} |"
+        )
+    return lines
+
+
+def _stages(plan: Plan) -> list[str]:
+    fleet = plan.numbers.fleet
+    calls = fleet.calls_per_s / fleet.endpoints
+    lines = [f"| stage, at {shown(calls)} calls a second | median, ms | 95% interval | processor time, ms |"]
+    lines.append("| --- | --- | --- | --- |")
+    whole, own = told(0.0, ""), told(0.0, "")
+    for stage, words in STAGE_WORDS.items():
+        name = f"path-stage-{stage.replace(' ', '-')}"
+        took, spent = plan.series.at(name, calls), plan.series.at(f"{name}-cpu", calls)
+        whole, own = whole.plus(took), own.plus(spent)
+        lines.append(f"| {words} | {_value(took)} | {_interval(took)} | {_value(spent)} |")
+    lines.append(f"| sum of the medians | {_value(whole)} | | {_value(own)} |")
+    for name, words in (
+        ("path-there-median", "client to endpoint, unstamped"),
+        ("path-back-median", "endpoint to client, unstamped"),
+        ("path-direct-median", "both ways without a sidecar, the same run"),
+        ("path-direct-p99", "the same, 99 in 100"),
+        ("path-quiet-median", "added, sidecar undisturbed by other processes, stamped"),
+        ("path-quiet-p99", "the same, 99 in 100"),
+    ):
+        took = plan.series.at(name, calls)
+        lines.append(f"| {words} | {_value(took)} | {_interval(took)} | |")
+    return lines
+
+
+def _value(figure: Figure) -> str:
+    return "not known" if figure.value is None else shown(figure.value) + " †" * figure.is_beyond
+
+
+def _interval(figure: Figure) -> str:
+    if figure.value is None or figure.low == figure.high:
+        return ""
+    return f"{shown(figure.low)} to {shown(figure.high)}"
+
+
 def _line(row: Row) -> str:
     figure = row.figure
-    if figure.value is None:
-        value = interval = "not known"
-    else:
-        value = f"{shown(figure.value)} {row.unit}{' †' if figure.is_beyond else ''}"
-        exact = figure.low == figure.high
-        interval = "" if exact else f"{shown(figure.low)} to {shown(figure.high)}"
+    value, interval = _value(figure), _interval(figure)
+    if figure.value is not None:
+        value = f"{shown(figure.value)} {row.unit}{' †' * figure.is_beyond}"
     budget = "" if row.budget is None else f"{shown(row.budget)} {row.unit}"
     return (
         f"| {row.role} | {row.way} | {row.kind} | {row.what} | {figure.formula} | {value} | {interval} "
