Scale: series as TOML files, measured, fitted and written by larkcrank scale run

By endpoints listed, services called, members of the view and watchers of discovery; real processes are measured beside hollow sidecars and the difference goes into the slope's note. A faulty file is refused by file, key and value; limits are looked up and told; nothing is left running after an interrupt or where the owner is killed. `scale plan` is offered where its module is there.

--- a/larkcrank/command/main.py
+++ b/larkcrank/command/main.py
@@ -1,8 +1,13 @@
-"""`larkcrank`: serve, check a configuration, play the fleet bench. Needs the extra `lab`, but for `serve`."""
+"""`larkcrank`: serve, check a configuration, play the fleet bench, measure by size.
+
+Needs the extra `lab`, but for `serve`.
+"""
 
 import os
 import socket
 import sys
+from importlib import import_module
+from importlib.util import find_spec
 from pathlib import Path
 from typing import NoReturn
 
@@ -197,6 +202,60 @@
         click.echo(f"| {' | '.join(map(str, row))} |")
 
 
+class _Scale(click.Group):
+    """`run`, and `plan` where its module is there; it is loaded only when it is asked for."""
+
+    def list_commands(self, context: click.Context) -> list[str]:
+        plan = ["plan"] if find_spec("larkcrank.lab.scale.plan") is not None else []
+        return sorted([*super().list_commands(context), *plan])
+
+    def get_command(self, context: click.Context, name: str) -> click.Command | None:
+        if name == "plan" and find_spec("larkcrank.lab.scale.plan") is not None:
+            found: click.Command = import_module("larkcrank.lab.scale.plan").plan
+            return found
+        return super().get_command(context, name)
+
+
+@main.group(cls=_Scale)
+def scale() -> None:
+    """What one cost becomes by size: measured, fitted, and reckoned on."""
+
+
+@scale.command("run")
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option(
+    "--out",
+    type=click.Path(path_type=Path),
+    default=Path("docs/scale"),
+    show_default=True,
+    help="Folder for raw points (runs/), slopes (slopes/) and the chart.",
+)
+def scale_run(file: Path, out: Path) -> None:
+    """Measure the series in FILE and fit its slopes. Exit code 2: bad input; 3: cut short."""
+    from larkcrank.lab.processes import ProcessError
+    from larkcrank.lab.scale import runs, series
+    from larkcrank.lab.scale.children import ChildError
+    from larkcrank.lab.scale.machine import LimitError
+    from larkcrank.lab.scale.measure import MeasureError
+
+    log = _log()
+    try:
+        found = series.load(file)
+    except series.SeriesError as error:
+        _refuse(str(error))
+    log.info("measuring", series=found.name, by=found.by, sizes=found.sizes, repeats=found.repeats)
+    try:
+        fitted = runs.run(found, file, out, lambda text: log.info("progress", text=text))
+    except (ChildError, LimitError, MeasureError, ProcessError, OSError) as error:
+        log.error("run_ended", reason=str(error))
+        sys.exit(3)
+    except KeyboardInterrupt:
+        log.error("run_ended", reason="interrupted")
+        sys.exit(3)
+    runs.charts(fitted, out / f"{found.name}.png")
+    click.echo(runs.table(fitted), nl=False)
+
+
 def _log() -> structlog.typing.FilteringBoundLogger:
     """One JSON object a line on standard error, as the sidecar has it."""
     structlog.configure(
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,18 +2,24 @@
 
 import asyncio
 import contextlib
+import resource
+import signal
 import subprocess
 import sys
+import time
 from collections.abc import AsyncIterator, Coroutine
 from pathlib import Path
 from random import Random
 from typing import Any
 
+import msgspec
 import psutil
 import pytest
+from click.testing import CliRunner
 
+from larkcrank.command.main import main
+from larkcrank.lab.scale import machine, runs, series, slopes
 from larkcrank.lab.scale import registry as registries
-from larkcrank.lab.scale import slopes
 from larkcrank.lab.scale.fit import FitError, fit
 from larkcrank.lab.scale.hollow import HollowHosts, Spec, tag
 from larkcrank.protocol.discovery import Names, parse
@@ -37,6 +43,11 @@
     assert linear == 400
 
 
+def test_a_cost_that_never_varies_has_no_doubt() -> None:
+    found = fit([(size, [259.0] * 3) for size in SIZES])
+    assert (found.slope, found.low, found.high, found.residual, found.shape) == (0.0, 0.0, 0.0, 0.0, "line")
+
+
 def test_planted_curve_is_not_linear() -> None:
     for seed in range(50):
         square = planted(Random(seed), {size: 1.0 + (size / 1200.0) ** 2 for size in SIZES}, 0.5)
@@ -208,3 +219,154 @@
             await work
 
     asyncio.run(limited())
+
+
+# A series' file, and a run of one
+
+SMALL = """
+name = "small"
+by = "endpoints"
+sizes = [3, 6, 9, 12]
+hollows = 2
+each = 2
+settle = 0.0
+idle = 0.1
+changes = 2
+gap = 0.0
+burst = 3
+[settings]
+registry-mode = "automatic"
+"""
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "told"),
+    [
+        ("sizes = [3, 6, 9, 12]", "sizes = [3, 6, 9]", "sizes: [3, 6, 9]"),
+        ("sizes = [3, 6, 9, 12]", "sizes = [3, 6, 6, 9, 12]", "sizes: [3, 6, 6, 9, 12]"),
+        ("sizes = [3, 6, 9, 12]", "sizes = [3, 6, 9, 0]", "sizes[3]: 0"),
+        ("sizes = [3, 6, 9, 12]", "sizes = [3, 6, 9, 20001]", "sizes[3]: 20001 lines"),
+        ("sizes = [3, 6, 9, 12]", "sizes = 3", "$.sizes"),
+        ('by = "endpoints"', 'by = "people"', "'people' - at `$.by`"),
+        ('by = "endpoints"', 'by = "members"', "fleet: it is needed"),
+        ('by = "endpoints"', 'by = "watchers"\nreal = 2', "real: 2"),
+        ('name = "small"', 'name = "../small"', "name: '../small'"),
+        ("idle = 0.1", "idle = 0.0", "idle: 0.0"),
+        ("idle = 0.1", "idle = nan", "idle: nan"),
+        ("idle = 0.1", "idler = 0.1", "`idler`"),
+        ("changes = 2", "repeats = 2", "repeats: 2"),
+        ("changes = 2", "real_sizes = [4]", "real_sizes[0]: 4"),
+        ('registry-mode = "automatic"', "resolution-ms = -1.0", "$.resolution-ms"),
+        ("hollows = 2", "hollows = ", "small.toml"),
+    ],
+)
+def test_a_faulty_series_is_refused_with_file_key_and_value(
+    tmp_path: Path, old: str, new: str, told: str
+) -> None:
+    assert old in SMALL
+    file = tmp_path / "small.toml"
+    file.write_text(SMALL.replace(old, new))
+    with pytest.raises(series.SeriesError) as error:
+        series.load(file)
+    assert str(file) in str(error.value) and told in str(error.value)
+    assert len(str(error.value).splitlines()) == 1
+
+
+def test_a_refused_series_starts_nothing_and_ends_with_2(tmp_path: Path) -> None:
+    (tmp_path / "small.toml").write_text(SMALL.replace("hollows = 2", "hollows = 0"))
+    done = CliRunner().invoke(main, ["scale", "run", str(tmp_path / "small.toml"), "--out", str(tmp_path)])
+    assert done.exit_code == 2 and "hollows: 0" in done.output
+    missing = CliRunner().invoke(main, ["scale", "run", str(tmp_path / "none.toml")])
+    assert missing.exit_code == 2 and "none.toml" in missing.output
+    assert [path.name for path in tmp_path.iterdir()] == ["small.toml"]
+
+
+def test_all_series_of_examples_can_be_read() -> None:
+    names = [series.load(path).name for path in sorted(Path("examples/scale").glob("*.toml"))]
+    assert len(names) == len(set(names)) >= 4
+
+
+def test_a_run_measures_fits_and_writes_and_leaves_nothing_running(tmp_path: Path) -> None:
+    """Counts only: what arithmetic says of bytes and calls. No verdict on a time."""
+    file = tmp_path / "small.toml"
+    text = SMALL.replace("each = 2", "each = 2\nreal = 1\nreal_sizes = [3]")
+    file.write_text(text + "[settings.bounds]\nconnect-timeout-ms = 120000.0\n")
+    found = series.load(file)
+    fitted = runs.run(found, file, tmp_path, lambda text: None)
+    assert not psutil.Process().children(recursive=True)
+    assert slopes.read(tmp_path / "slopes") == fitted
+    raw = msgspec.json.decode((tmp_path / "runs" / "small.json").read_bytes(), type=runs.Run)
+    assert raw.own_cpu_s > 0.0 and raw.hollow["sidecar-list-bytes"].keys() == {3, 6, 9, 12}
+    line = len(registries.Listed(registries.Spec(endpoints=2)).answer(None)) - len(
+        registries.Listed(registries.Spec(endpoints=1)).answer(None)
+    )
+    listed = fitted["sidecar-list-bytes-by-endpoints"]
+    assert listed.linear and abs(listed.slope - line) < 1.0 and listed.how == "hollow"
+    change = fitted["sidecar-change-bytes-by-endpoints"]
+    assert not change.low or change.low <= 0.0 <= change.high
+    more = raw.real["sidecar-memory"][3]
+    assert len(more) == 3 and "at 3" in fitted["sidecar-memory-by-endpoints"].note
+    assert "sidecar-memory-by-endpoints" in runs.table(fitted)
+    runs.charts(fitted, tmp_path / "small.png")
+    assert (tmp_path / "small.png").stat().st_size > 0
+
+
+def test_watchers_are_counted_by_discovery(tmp_path: Path) -> None:
+    file = tmp_path / "small.toml"
+    text = SMALL.replace('by = "endpoints"', 'by = "watchers"').replace("each = 2", "each = 4")
+    file.write_text(text)
+    fitted = runs.run(series.load(file), file, tmp_path, lambda text: None)
+    assert not psutil.Process().children(recursive=True)
+    connections = fitted["discovery-connections-by-watchers"]
+    assert [costs for _, costs in connections.points] == [[float(n)] * 3 for n in (3, 6, 9, 12)]
+    # All watch anew after each turn of changes; who was slow hears of two at once, and asks once less.
+    for size, costs in fitted["discovery-calls-by-watchers"].points:
+        assert all(size / 2 <= calls <= size for calls in costs)
+
+
+def test_an_interrupted_run_leaves_nothing_running_and_writes_nothing(tmp_path: Path) -> None:
+    file = tmp_path / "small.toml"
+    file.write_text(SMALL.replace("idle = 0.1", "idle = 600.0"))
+    command = [sys.executable, "-m", "larkcrank", "scale", "run", str(file), "--out", str(tmp_path / "out")]
+    run = psutil.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+    try:
+        children: list[psutil.Process] = []
+        until = time.monotonic() + LONG_S
+        while len(children) < 2 and time.monotonic() < until:  # discovery, and who hosts the sidecars
+            time.sleep(0.05)
+            children = run.children(recursive=True)
+        assert len(children) == 2
+        run.send_signal(signal.SIGINT)
+        _, told = run.communicate(timeout=LONG_S)
+        assert run.returncode == 3 and b"interrupted" in told
+        _, alive = psutil.wait_procs(children, timeout=LONG_S)
+        assert not alive and not (tmp_path / "out").exists()
+    finally:
+        if run.poll() is None:
+            run.kill()
+            run.wait()
+
+
+def test_limits_are_looked_up_and_kept() -> None:
+    here = machine.look()
+    soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    assert here.descriptors < soft and here.memory_mib * machine.MIB <= psutil.virtual_memory().total / 2
+    here.check(machine.MOST_PROCESSES, here.memory_mib, here.descriptors)
+    for wants in (
+        (machine.MOST_PROCESSES + 1, 0.0, 0),
+        (1, here.memory_mib + 1.0, 0),
+        (1, 0.0, here.descriptors + 1),
+    ):
+        with pytest.raises(machine.LimitError):
+            here.check(*wants)
+    with pytest.raises(machine.LimitError, match="processes"):
+        HollowHosts(Spec(count=machine.MOST_PROCESSES + 1, discovery=["127.0.0.1:1"]), 1)
+
+
+def test_a_plain_sidecar_loads_none_of_it() -> None:
+    """Neither the program's start nor the command line's pays for the scale tests or scipy."""
+    text = (
+        "import sys, larkcrank.__main__, larkcrank.program.sidecar, larkcrank.command.main\n"
+        "assert not [m for m in sys.modules if m.startswith(('scipy', 'numpy', 'larkcrank.lab'))]"
+    )
+    subprocess.run([sys.executable, "-c", text], check=True, timeout=LONG_S)
