--- a/larkcrank/lab/scale/measure.py
+++ b/larkcrank/lab/scale/measure.py
@@ -9,7 +9,7 @@
 import statistics
 import tempfile
 import time
-from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator, Sequence
 from dataclasses import dataclass, field
 from itertools import chain
 from pathlib import Path
@@ -98,20 +98,28 @@
     Raises `MeasureError`, `ChildError`, `ProcessError`, `LimitError`.
     """
     measured = Measured()
-    for size in series.sizes:
-        if series.by == "watchers":
+    if series.by == "watchers":
+        for size in series.sizes:
             await _by_watchers(series, size, measured, say)
-            continue
-        for repeat in range(series.repeats):
-            said = f"{series.by} {size}, repeat {repeat + 1}"
-            say(f"{said}, hollow")
-            measured.add("hollow", size, await _hollow(series, size, measured))
-            if series.real and size in (series.real_sizes or series.sizes):
-                say(f"{said}, real")
-                measured.add("real", size, await _real(series, size, measured))
+        return measured
+    for size, repeat in order(series.sizes, series.repeats):
+        said = f"{series.by} {size}, repeat {repeat + 1}"
+        say(f"{said}, hollow")
+        measured.add("hollow", size, await _hollow(series, size, measured))
+        if series.real and size in (series.real_sizes or series.sizes):
+            say(f"{said}, real")
+            measured.add("real", size, await _real(series, size, measured))
     return measured
 
 
+def order(sizes: Sequence[int], repeats: int) -> Iterator[tuple[int, int]]:
+    """All sizes, then all again, the other way round: what the machine does besides changes with time, and
+    would else look like a cost of the sizes that came last."""
+    for repeat in range(repeats):
+        for size in sizes if repeat % 2 == 0 else reversed(sizes):
+            yield size, repeat
+
+
 async def _hollow(series: Series, size: int, measured: Measured) -> dict[str, float]:
     """The costs of one sidecar, from several hollow ones of a process."""
     count = series.count(size)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -22,6 +22,7 @@
 from larkcrank.lab.scale import registry as registries
 from larkcrank.lab.scale.fit import FitError, fit
 from larkcrank.lab.scale.hollow import HollowHosts, Spec, tag
+from larkcrank.lab.scale.measure import order
 from larkcrank.protocol.discovery import Names, parse
 
 LONG_S = 120.0  # nothing is timed by it: it ends a test that hangs
@@ -321,6 +322,13 @@
     assert (tmp_path / "small.png").stat().st_size > 0
 
 
+def test_sizes_take_turns_so_that_drift_is_no_slope() -> None:
+    turns = list(order((1, 2, 3), 3))
+    assert turns == [(1, 0), (2, 0), (3, 0), (3, 1), (2, 1), (1, 1), (1, 2), (2, 2), (3, 2)]
+    means = [sum(place for place, (size, _) in enumerate(turns) if size == one) / 3 for one in (1, 2, 3)]
+    assert max(means) - min(means) < 1.0
+
+
 def test_watchers_are_counted_by_discovery(tmp_path: Path) -> None:
     file = tmp_path / "small.toml"
     text = SMALL.replace('by = "endpoints"', 'by = "watchers"').replace("each = 2", "each = 4")
