--- a/larkcrank/lab/scale/path.py
+++ b/larkcrank/lab/scale/path.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import gc
+import heapq
 import itertools
 import math
 import os
@@ -15,13 +16,13 @@
 import tempfile
 import time
 from bisect import bisect
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import UTC, datetime
 from functools import partial
 from pathlib import Path
 from random import Random
-from typing import Any, cast
+from typing import Any, Literal, cast
 
 import click
 import msgspec
@@ -48,6 +49,8 @@
 LATEST_S = 5.0  # after the last call its answer must have come
 ROWS = (1, 2, 3, 5, 7)  # calls in a row
 ROW_RATE = 80  # at which what they are added is taken
+BEFORE = ("read", "parsed", "taken", "decided", "going", "at the endpoint")  # stages before the answer
+ALONE_CALLS = 50_000
 COMMAND = "python -m larkcrank scale path"
 DRAWS = 200_000
 
@@ -421,6 +424,43 @@
 OWN = (resource.RUSAGE_SELF, resource.RUSAGE_CHILDREN)
 
 
+def alone(processor_ms: float, first: float, rate: float, rng: Random) -> list[float]:
+    """What calls would be added if the sidecar had a processor to itself: its own time, and the wait for it.
+
+    A queue of one server, first come first served, in virtual time: calls come at random, each is worked on
+    twice, `first` of its processor time before its endpoint and the rest after, and the endpoint takes
+    SERVICE_S. The kernel's way and the wake-ups are left out, and each call takes as long: a lower bound.
+    """
+    parts = (processor_ms * first, processor_ms * (1.0 - first))
+    due: list[tuple[float, int, bool]] = []  # when, which call, whether its answer
+    begun, found, now, free = [], [], 0.0, 0.0
+    for number in range(ALONE_CALLS):
+        now += rng.expovariate(rate) * 1000.0
+        begun.append(now)
+        due.append((now, number, False))
+    heapq.heapify(due)
+    while due:
+        when, number, is_answer = heapq.heappop(due)
+        free = max(free, when) + parts[is_answer]
+        if is_answer:
+            found.append(free - begun[number] - 1000.0 * SERVICE_S)
+        else:
+            heapq.heappush(due, (free + 1000.0 * SERVICE_S, number, True))
+    return found
+
+
+def first_share(runs: Iterable[Run]) -> float:
+    """Of a call's processor time, how much is spent before it is at its endpoint: of all stamped runs."""
+    before = after = 0.0
+    for one in runs:
+        for stage, words in one.stages.items():
+            if stage in BEFORE:
+                before += words.processor
+            else:
+                after += words.processor
+    return before / (before + after)
+
+
 class Raw(msgspec.Struct, kw_only=True):
     """What stands in docs/scale/runs/."""
 
@@ -461,69 +501,108 @@
     return one.stages[stage].processor
 
 
-WAYS: dict[str, tuple[str, Callable[[int, Run], float]]] = {
-    "added": ("added to a call", _added),
-    "quiet": ("added to a call, undisturbed", _undisturbed),
-    "there": ("client to endpoint through the sidecar", _there),
-    "back": ("endpoint to client through the sidecar", _back),
-    "direct": ("both ways without a sidecar", _direct),
+WAYS: dict[str, tuple[str, str, Callable[[int, Run], float]]] = {  # title, note, figure
+    "added": ("added to a call", "the way through the sidecar less that without it, in the same run", _added),
+    "quiet": (
+        "added to a call, undisturbed",
+        "calls of the stamped runs in whose time the sidecar was never kept from running",
+        _undisturbed,
+    ),
+    "there": ("client to endpoint through the sidecar", "", _there),
+    "back": ("endpoint to client through the sidecar", "", _back),
+    "direct": ("both ways without a sidecar", "", _direct),
 }
 
 
-def series_of(runs: Sequence[Run], rows: dict[int, list[tuple[float, float]]], run: str) -> dict[str, Slope]:
-    """The slopes of all that was measured, by name."""
-    rates = sorted({one.rate for one in runs})
+BY_RATE, BY_ROW = "calls a second", "calls in a row"
+SHARE, MS = "% of a core", "ms"
+PERCENTILES = {"median": 50.0, "p99": 99.0}
+Points = list[tuple[float, list[float]]]
 
-    def points(stamped: bool, figure: Callable[[Run], float]) -> list[tuple[float, list[float]]]:
-        chosen = [one for one in runs if one.stamped is stamped]
-        found = [(rate, [figure(one) for one in chosen if one.rate == rate]) for rate in rates]
-        return [(rate, each) for rate, each in found if all(map(math.isfinite, each))]
 
-    found: dict[str, Slope] = {}
+class _Fits:
+    """The slopes of a run by name."""
+
+    def __init__(self, runs: Sequence[Run], run: str) -> None:
+        self.found: dict[str, Slope] = {}
+        self.runs, self._run = runs, run
+        self.rates = sorted({one.rate for one in runs})
+
+    def points(self, stamped: bool, figure: Callable[[Run], float]) -> Points:
+        """By rate, one figure for each seed. A rate at which one has none is left out."""
+        chosen = [one for one in self.runs if one.stamped is stamped]
+        found = [(rate, [figure(one) for one in chosen if one.rate == rate]) for rate in self.rates]
+        return [(rate, each) for rate, each in found if all(map(math.isfinite, each))]
 
     def add(
-        name: str, title: str, points: list[tuple[float, list[float]]], unit: str, by: str, note: str = ""
+        self,
+        name: str,
+        title: str,
+        points: Points,
+        unit: str = MS,
+        by: str = BY_RATE,
+        note: str = "",
+        how: Literal["real", "virtual"] = "real",
     ) -> None:
         cost = "processor time" if name.endswith(("processor", "-cpu")) else "time"
-        words = {"title": title, "cost": cost, "unit": unit, "by": by, "run": run, "note": note}
+        words = {"title": title, "cost": cost, "unit": unit, "by": by, "run": self._run, "note": note}
         try:
-            found[f"path-{name}"] = made(points, role="path", how="real", command=COMMAND, **words)
+            self.found[f"path-{name}"] = made(points, role="path", how=how, command=COMMAND, **words)
         except FitError as error:
             click.echo(f"{name}: no slope: {error}", err=True)
 
-    rate, share, ms = "calls a second", "% of a core", "ms"
-    queued = "of it the sidecar was ready to run and another process ran; the machine's, not the program's"
-    added = "a call's way through the sidecar less the same without it, in the same run"
-    add(
-        "processor",
-        "a sidecar's processor time",
-        points(False, lambda one: one.processor_ms / 10),
-        share,
-        rate,
-    )
-    add(
-        "queued",
-        "a sidecar kept from running",
-        points(False, lambda one: one.waited_ms / 10),
-        share,
-        rate,
-        queued,
-    )
-    quiet = "calls of the stamped runs in whose time the sidecar was never kept from running"
-    for index, which in enumerate(("median", "p99")):
-        for name, (title, way) in WAYS.items():
-            note = {"added": added, "quiet": quiet}.get(name, "")
-            figures = points(name == "quiet", partial(way, index))
-            add(f"{name}-{which}", f"{title}, {which}", figures, ms, rate, note)
-        independent = f"drawn independently from what {ROW_RATE} calls a second were added"
+
+def series_of(
+    runs: Sequence[Run], rows: Mapping[int, list[tuple[float, float]]], run: str
+) -> dict[str, Slope]:
+    """The slopes of all that was measured, by name; what has none is told."""
+    fits = _Fits(runs, run)
+    processor = fits.points(False, lambda one: one.processor_ms / 10)
+    fits.add("processor", "a sidecar's processor time", processor, SHARE)
+    queued = fits.points(False, lambda one: one.waited_ms / 10)
+    note = "ready to run while another process ran: the machine's doing, not the program's"
+    fits.add("queued", "a sidecar kept from running", queued, SHARE, note=note)
+    for index, which in enumerate(PERCENTILES):
+        for name, (title, note, way) in WAYS.items():
+            figures = fits.points(name == "quiet", partial(way, index))
+            fits.add(f"{name}-{which}", f"{title}, {which}", figures, note=note)
+        note = f"drawn independently from what {ROW_RATE} calls a second were added"
         row = [(float(deep), [one[index] for one in each]) for deep, each in rows.items()]
-        add(f"row-{which}", f"added to calls in a row, {which}", row, ms, "calls in a row", independent)
+        fits.add(f"row-{which}", f"added to calls in a row, {which}", row, by=BY_ROW, note=note)
+    _add_alone(fits)
     for stage, words in STAGE_WORDS.items():
         slug = stage.replace(" ", "-")
-        add(f"stage-{slug}", f"{words}, median", points(True, partial(_took, stage)), ms, rate)
-        own = points(True, partial(_spent, stage))
-        add(f"stage-{slug}-cpu", f"{words}, the sidecar's processor time, median", own, ms, rate)
-    return found
+        fits.add(f"stage-{slug}", f"{words}, median", fits.points(True, partial(_took, stage)))
+        own = fits.points(True, partial(_spent, stage))
+        fits.add(f"stage-{slug}-cpu", f"{words}, the sidecar's processor time, median", own)
+    return fits.found
+
+
+def _add_alone(fits: _Fits) -> None:
+    """What calls were added if the sidecar had a processor to itself, by the processor time of each run."""
+    first, by_rate = first_share(fits.runs), dict[float, list[tuple[int, list[float]]]]()
+    for one in fits.runs:
+        if not one.stamped:
+            took = (one.processor_ms - one.idle_ms) / one.rate
+            added = alone(took, first, one.rate, Random(one.seed))
+            by_rate.setdefault(one.rate, []).append((one.seed, added))
+    note = "a queue in virtual time; each call takes the processor time that it took in a run"
+    title = "added by a sidecar with a processor to itself"
+    for which, share in PERCENTILES.items():
+        figures = [
+            (rate, [float(numpy.percentile(added, share)) for _, added in each])
+            for rate, each in sorted(by_rate.items())
+        ]
+        fits.add(f"alone-{which}", f"{title}, {which}", figures, note=note, how="virtual")
+        row: Points = []
+        for deep in ROWS if ROW_RATE in by_rate else ():
+            drawn = [
+                in_a_row(added, 0.0, deep, numpy.random.default_rng(seed))
+                for seed, added in by_rate[ROW_RATE]
+            ]
+            row.append((float(deep), [one[which == "p99"] for one in drawn]))
+        words = f"{title}, calls in a row, {ROW_RATE} a second, {which}"
+        fits.add(f"alone-row-{which}", words, row, by=BY_ROW, note=note, how="virtual")
 
 
 @click.command()
--- a/larkcrank/lab/scale/plan.py
+++ b/larkcrank/lab/scale/plan.py
@@ -306,9 +306,12 @@
         processor = at("path-processor", calls)
         yield Row(ORDINARY, PATH, "", "processor", "at this rate", processor, "% of a core")
         yield Row(ORDINARY, PATH, "", "time", "added, median", at("path-added-median", calls), "ms")
-        yield Row(ORDINARY, PATH, "", "time", "added, 99 in 100", at("path-added-p99", calls), "ms", budget)
-        deep = at("path-row-p99", fleet.depth)
-        yield Row(ORDINARY, PATH, "", "time", f"{fleet.depth} in a row, 99 in 100", deep, "ms", budget)
+        for name, words in (("", "as measured"), ("alone-", "with a processor to itself")):
+            tail = at("path-added-p99" if not name else "path-alone-p99", calls)
+            yield Row(ORDINARY, PATH, "", "time", f"added, 99 in 100, {words}", tail, "ms", budget)
+            deep = at(f"path-{name}row-p99", fleet.depth)
+            what = f"{fleet.depth} in a row, 99 in 100, {words}"
+            yield Row(ORDINARY, PATH, "", "time", what, deep, "ms", budget)
 
     def _ordinary_control(self, way: str) -> Iterator[Row]:
         budgets, listed, series = self.numbers.budgets, self._listed[way], self.series
