--- a/larkcrank/lab/scale/hollow.py
+++ b/larkcrank/lab/scale/hollow.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import gc
+import os
 import time
 from collections import Counter, deque
 from collections.abc import Callable
@@ -46,7 +47,7 @@
 SEEN_MOST = 8192  # of a sidecar's lists in force that are kept to be told
 SOCKETS = 1024
 MEMORY_MB = 192.0
-PORT = 7946  # for datagrams, each on a loopback address of its own
+PORTS = (10_000, 20_000)  # the first for datagrams and how many; one for all, each on an address of its own
 OCTET = 250  # addresses of a net for them
 LOOK_S = 0.01
 AT_ONCE = 4  # processes that start side by side
@@ -74,6 +75,7 @@
     # Merged into the configuration file; in its texts {i} is the sidecar's number, {own} where it may bind
     # its socket for datagrams, {seed0} to {seed2} those of the first three.
     config: dict[str, Any] = {}
+    port: int = PORTS[0]  # for datagrams
     beats: bool = True  # each keeps the program's beat of 20 ms; off: idle time is then without it
     spread_s: float = 0.0  # over which they start
     seed: int = 1
@@ -107,6 +109,7 @@
     crashed: int
     events: dict[str, int]  # what it would have logged, by event
     together: dict[str, Any] = {}  # counters of the fleet's part
+    live: int = 0  # members in its view, itself too
 
     def in_force(self, change: int) -> float | None:
         """When a list was in force that tells this change or a later one; None: not yet."""
@@ -193,9 +196,9 @@
             super().beat()
 
 
-def own_place(number: int) -> str:
+def own_place(number: int, port: int) -> str:
     """Where a sidecar may bind its socket for datagrams."""
-    return f"127.{100 + number // OCTET**2}.{number // OCTET % OCTET}.{number % OCTET + 1}:{PORT}"
+    return f"127.{100 + number // OCTET**2}.{number // OCTET % OCTET}.{number % OCTET + 1}:{port}"
 
 
 class Hollow:
@@ -299,6 +302,7 @@
             crashed=self.counters.crashed,
             events=dict(self.journal.events),
             together={} if self._together is None else self._together.counters(),
+            live=0 if self._together is None else int(self._together.view().split(" ", 2)[1]),
         )
 
     def _in_force(self, event: ServerList) -> None:
@@ -327,18 +331,18 @@
             "seed": f"{spec.seed * 1_000_003 + number:x}",
             "limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB},
         },
-        _with_texts(spec.config, number),
+        _with_texts(spec.config, number, spec.port),
     )
     return configuration.parse(msgspec.json.encode(file), {})
 
 
-def _with_texts(value: Any, number: int) -> Any:
+def _with_texts(value: Any, number: int, port: int) -> Any:
     if isinstance(value, str):
-        seeds = {f"seed{other}": own_place(other) for other in range(3)}
-        return value.format(i=number, own=own_place(number), **seeds)
+        seeds = {f"seed{other}": own_place(other, port) for other in range(3)}
+        return value.format(i=number, own=own_place(number, port), **seeds)
     if isinstance(value, dict):
-        return {key: _with_texts(one, number) for key, one in value.items()}
-    return [_with_texts(one, number) for one in value] if isinstance(value, list) else value
+        return {key: _with_texts(one, number, port) for key, one in value.items()}
+    return [_with_texts(one, number, port) for one in value] if isinstance(value, list) else value
 
 
 class Host:
@@ -427,6 +431,8 @@
     """
 
     def __init__(self, spec: Spec, each: int) -> None:
+        if spec.port == PORTS[0]:  # runs side by side must not meet
+            spec = msgspec.structs.replace(spec, port=PORTS[0] + os.getpid() % PORTS[1])
         self.spec = spec
         firsts = range(spec.first, spec.first + spec.count, each)
         parts = [min(each, spec.first + spec.count - first) for first in firsts]
--- a/larkcrank/lab/scale/measure.py
+++ b/larkcrank/lab/scale/measure.py
@@ -363,11 +363,10 @@
 
 
 async def _all_seen(hosts: HollowHosts, count: int) -> None:
-    """Until every member counts all of them."""
+    """Until all members see all of them."""
 
     async def least() -> int:
-        sizes = [one.together["fleet"]["size"] for one in _each(await hosts.collect())]
-        return min(sizes) if max(sizes) <= count else 0
+        return min(one.live for one in _each(await hosts.collect()))
 
     await _until(f"{count} members in every view", least, lambda found: found == count, 0.5)
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import resource
 import signal
 import subprocess
@@ -175,6 +176,40 @@
     _run(play())
 
 
+def test_hollow_members_see_each_other() -> None:
+    """The view, ranks and lists in common are the program's own, on datagrams."""
+
+    async def play() -> None:
+        registry = registries.RegistryProcess(registries.Spec(endpoints=3))
+        hosts: HollowHosts | None = None
+        fleet = {
+            "name": f"test-{os.getpid()}",
+            "listen": "{own}",
+            "seeds": ["{seed0}"],
+            "recovery": {"same_places": True},
+        }
+        try:
+            spec = Spec(
+                count=4,
+                discovery=[await registry.start()],
+                settings={"bounds": {"peers": True}},
+                config={"fleet": fleet},
+            )
+            hosts = HollowHosts(spec, 2)
+            await hosts.start()
+            await hosts.serving()
+            reports = await hosts.until(lambda hollow: hollow.live == 4)
+            for hollow in (one for host in reports for one in host.hollows):
+                assert hollow.together["fleet"]["datagrams_out"] and not hollow.crashed
+                assert hollow.together["fleet"]["refused"] == {}
+        finally:
+            if hosts is not None:
+                await hosts.close()
+            await registry.close()
+
+    _run(play())
+
+
 def test_a_host_ends_with_its_owner() -> None:
     """An owner that is killed outright closes nothing: its children go all the same."""
     text = (
