Balancer: sizes are summed once a change, not once a server

Cause: _size summed all sizes again for each server of the ring, so that a change, and every second under traffic, cost the square of the ring. It shows where a sidecar keeps to many servers: alone, or one of few beside a long list.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -637,13 +637,13 @@
 
     def _size(self) -> None:
         """Sizes against the mean: as listed, or by what answers of each machine type take."""
-        self._sized_at = self._now
-        sizes = [server.endpoint.size for server in self._ring]
+        self._sized_at, sizes = self._now, [server.endpoint.size for server in self._ring]
         if not self._set.listed_sizes:
             takes = [max(self._takes.get(server.endpoint.kind, 1.0), 1 / SIZE_MOST) for server in self._ring]
             sizes = [min(max(took**-SIZE_POWER, 1 / SIZE_MOST), SIZE_MOST) for took in takes]
+        total = sum(sizes)
         for server, size in zip(self._ring, sizes, strict=True):
-            server.size = size * len(sizes) / sum(sizes)
+            server.size = size * len(sizes) / total
         self._largest = max((server.size for server in self._ring), default=1.0)
 
     def _new_brake(self, share: float) -> Brake:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -19,11 +19,15 @@
 from click.testing import CliRunner
 
 from larkcrank.command.main import main
+from larkcrank.config.settings import convert
+from larkcrank.core.balancer import Balancer
+from larkcrank.core.interface import Endpoint, ServerList, State
 from larkcrank.lab.scale import machine, runs, series, slopes
 from larkcrank.lab.scale import registry as registries
 from larkcrank.lab.scale.fit import FitError, fit
 from larkcrank.lab.scale.hollow import HollowHosts, Spec, tag
 from larkcrank.lab.scale.measure import order
+from larkcrank.lab.settings import SETTINGS
 from larkcrank.protocol.discovery import Names, parse
 
 LONG_S = 120.0  # nothing is timed by it: it ends a test that hangs
@@ -425,3 +429,29 @@
         "assert not [m for m in sys.modules if m.startswith(('scipy', 'numpy', 'larkcrank.lab'))]"
     )
     subprocess.run([sys.executable, "-c", text], check=True, timeout=LONG_S)
+
+
+# What the series found
+
+
+def test_a_changed_line_sums_the_sizes_once_and_not_once_a_server() -> None:
+    """Counted in calls: with a sum for each server, a change of a long list costs its square."""
+
+    def sums(servers: int) -> int:
+        balancer = Balancer(convert(SETTINGS).decisions, Random(1), 0.0)
+        endpoints = tuple(Endpoint(b"s%d" % number) for number in range(servers))
+        balancer.handle(0.0, ServerList(endpoints, True))
+        counted = 0
+
+        def count(frame: object, event: str, what: object) -> None:
+            nonlocal counted
+            counted += event == "c_call" and what is sum
+
+        sys.setprofile(count)
+        try:
+            balancer.handle(1.0, ServerList((Endpoint(b"s0", State.DRAINING),), False))
+        finally:
+            sys.setprofile(None)
+        return counted
+
+    assert sums(50) == sums(500)
