--- a/larkcrank/lab/scale/plan.py
+++ b/larkcrank/lab/scale/plan.py
@@ -159,11 +159,11 @@
         logarithm = found.by.startswith("log10")
         x = math.log10(size) if logarithm else size
         largest = max(point for point, _ in found.points)
+        by = f"log10 {shown(size)}" if logarithm else shown(x)
         if not found.linear:
-            return self._read_off(found, name, x, largest)
+            return self._read_off(found, name, x, by)
         mean = found.intercept + found.slope * x
         half = half_width(found, x)
-        by = f"log10 {shown(size)}" if logarithm else shown(x)
         sign = "-" if found.slope < 0.0 else "+"
         formula = f"{shown(found.intercept)} {sign} {shown(abs(found.slope))} x {by}"
         return Figure(mean, mean - half, mean + half, formula, (name,), is_beyond=x > largest)
@@ -177,7 +177,7 @@
         largest = max(point for point, _ in found.points)
         self.used[name] = found
         if not found.linear:
-            at, least = self._read_off(found, name, size, largest), _mean(min(found.points)[1])
+            at, least = self._read_off(found, name, size, shown(size)), _mean(min(found.points)[1])
             if at.value is None:
                 return at
             return replace(
@@ -191,11 +191,11 @@
         formula = f"{shown(found.slope)} x {shown(size)}"
         return Figure(found.slope * size, low, high, formula, (name,), is_beyond=size > largest)
 
-    def _read_off(self, slope: Slope, name: str, x: float, largest: float) -> Figure:
+    def _read_off(self, slope: Slope, name: str, x: float, by: str) -> Figure:
         points = sorted(slope.points)
-        if not points[0][0] <= x <= largest:
-            self.missing.add(f"{name} at {shown(x)}")
-            formula = f"[{name}] is no line, and was not measured at {shown(x)}"
+        if not points[0][0] <= x <= points[-1][0]:
+            self.missing.add(f"{name} at {by}")
+            formula = f"[{name}] is no line, and was not measured at {by}"
             return Figure(None, formula=formula, series=(name,))
         above = next(index for index, (size, _) in enumerate(points) if size >= x)
         (left, lower), (right, upper) = points[max(above - 1, 0)], points[above]
--- a/larkcrank/lab/scale/view.py
+++ b/larkcrank/lab/scale/view.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 import math
+import multiprocessing
 import resource
 import time
 from collections import defaultdict
@@ -475,20 +476,33 @@
 
 
 def play_all(cases: Iterable[Case], jobs: int, file: Path, told: Callable[[str], None]) -> dict[Case, Found]:
-    """Play them, one process a play, but for those that `file` holds; each is added to it as it ends."""
+    """Play them side by side, but for those that `file` holds; each is added to it as it ends."""
     results = read_plays(file)
-    left = [case for case in cases if case not in results]
     file.parent.mkdir(parents=True, exist_ok=True)
-    with ProcessPoolExecutor(jobs, max_tasks_per_child=1, initializer=end_with_parent) as pool:
-        for future in as_completed(futures := {pool.submit(play, case): case for case in left}):
-            case = futures[future]
-            results[case] = found = future.result()
-            with file.open("ab") as out:
-                out.write(msgspec.json.encode(asdict(case) | {"found": found}) + b"\n")
-            told(f"{len(results)}: {case.kind} {case.members} {case.amount:g} seed {case.seed}: {found}")
+
+    def keep(case: Case, found: Found) -> None:
+        results[case] = found
+        with file.open("ab") as out:
+            out.write(msgspec.json.encode(asdict(case) | {"found": found}) + b"\n")
+        told(f"{len(results)}: {case.kind} {case.members} {case.amount:g} seed {case.seed}: {found}")
+
+    left = [case for case in cases if case not in results]
+    for case in left:
+        if case.kind == "memory":  # in a process that has done nothing else
+            with _pool(1) as pool:
+                keep(case, pool.submit(play, case).result())
+    with _pool(jobs) as pool:
+        futures = {pool.submit(play, case): case for case in left if case.kind != "memory"}
+        for future in as_completed(futures):
+            keep(futures[future], future.result())
     return results
 
 
+def _pool(jobs: int) -> ProcessPoolExecutor:
+    """Workers that end with whoever started them."""
+    return ProcessPoolExecutor(jobs, multiprocessing.get_context("spawn"), end_with_parent)
+
+
 def read_plays(file: Path) -> dict[Case, Found]:
     """The plays that a file of an earlier run holds; a line cut short is none. Same text, same figures: what
     is in virtual time does not change by being played again."""
