A list fetched while no watch is out no longer puts the watch off for good

Change: the balancer remembers whether a watch is out; only then an answer ends the calls. The test fails without the change, in both cases.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -139,7 +139,7 @@
         self._worth, self._taken = 0.0, 0  # mean worth of a request, and how many there were
         self._retries, self._thin, self._weigh = RETRY_SAVED, True, True  # weigh: turns and homes go by size
         self._takes: dict[int, float] = {}  # answer times of each machine type, in usual ones
-        self._sized_at, self._fetch_at = now, -math.inf
+        self._sized_at, self._fetch_at, self._watching = now, -math.inf, False
         # All start or fail together: calls are spread, or most time out and come again as a herd.
         self._spread = min(ASK_EACH_MS * settings.instances, ASK_AGAIN_MS[1])
         self._ask_at, self._ask_wait, self._wake = math.inf, max(self._spread, ASK_AGAIN_MS[0]), -math.inf
@@ -225,8 +225,8 @@
         self._sequence += 1
         heapq.heappush(self._due, (when, self._sequence, what, about))
 
-    def _ask_in(self, wait: float) -> None:
-        self._ask_at = self._now + wait
+    def _ask_in(self, wait: float, watching: bool = False) -> None:
+        self._ask_at, self._watching = self._now + wait, watching
         self._at(self._ask_at, "ask")
 
     def _arm(self) -> None:
@@ -253,7 +253,7 @@
                 self._actions.append(FetchList())
             elif what == "ask" and when == self._ask_at:
                 self._actions.append(Watch())
-                self._ask_in(ASK_AGAIN_MS[1])
+                self._ask_in(ASK_AGAIN_MS[1], True)
 
     def _measure(self) -> None:
         """Window, even share and span from our traffic; a shorter window would see sends without answers."""
@@ -595,7 +595,7 @@
                 self._usual[job.index] += (USUAL_UP if off > 0 else ANSWER_WEIGHT) * off
 
     def _list(self, event: ServerList) -> None:
-        if not event.cached:
+        if self._watching and not event.cached:  # a list fetched without one is no answer to it
             self._ask_at, self._ask_wait = math.inf, max(self._spread, ASK_AGAIN_MS[0])
         if event.complete:
             named = {endpoint.address for endpoint in event.endpoints}
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -702,6 +702,20 @@
     assert not any(isinstance(a, Watch) for a in desk.wait(60_000.0))
 
 
+@pytest.mark.parametrize("failed", [False, True])
+def test_a_list_fetched_in_doubt_while_no_watch_is_out_does_not_put_the_watch_off(failed: bool) -> None:
+    # Before its turn to watch, or between a watch that failed and the next, an instance doubted its list and
+    # fetched it; the answer counted as the watch's, none ever came, and drains were not heard of.
+    desk = Desk(must_ask=True, instances=32)
+    if failed:
+        assert any(isinstance(a, Watch) for a in desk.wait(4800.0))
+        desk.do(DiscoveryFailed())
+    desk.do(ServerList((Endpoint(address(0)),), complete=True))
+    assert any(isinstance(a, Watch) for a in desk.wait(8000.0))
+    desk.do(ServerList((), complete=False))
+    assert not any(isinstance(a, Watch) for a in desk.wait(60_000.0))
+
+
 @pytest.mark.parametrize("instances", [340, 3400])
 def test_hundreds_of_instances_together_do_not_push_a_cold_server_over(instances: int) -> None:
     # Each instance's share of a cold server had a floor: over hundreds of thin ones, floors add up.
