Clients that leave: one look for all that are not read, and no turn between look and first byte

Cause: from the last look at the client to the head of a request whose body passes through there was a turn of the loop (the head was written by a task of its own), as long as a busy loop makes it. And each request of a client that had sent ahead looked for itself each 50 ms.

Change: the head is written in the turn of the look, for every request. A client is looked at before a connection is taken too, so one that has gone costs no connect and no idle connection. CloseWatch looks at all clients that are not read just now with one poll each 50 ms. Where poll can't tell (no POLLRDHUP), what peek tells stands.

--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -4,6 +4,8 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable
+from contextlib import AbstractContextManager
+from functools import partial
 from typing import Any, Protocol
 
 from larkcrank.core.interface import Effect, RequestClass, Settings
@@ -11,6 +13,7 @@
 from larkcrank.routing.exchange import Answer, Exchange, StreamAnswer, Upload
 from larkcrank.routing.life import Life
 from larkcrank.transport.budget import Budget
+from larkcrank.transport.closewatch import CloseWatch
 from larkcrank.transport.connection import Connection, ConnectionLostError
 from larkcrank.transport.descriptors import Descriptors, Use
 
@@ -26,7 +29,6 @@
 LINGER_S = 0.3  # a client that is told of its error may still be sending
 LINGER_BYTES = 1 << 20
 SWEEP_S = 0.2
-LOOK_S = 0.05  # between looks whether a client has left whose bytes are not read just now
 
 
 class Desk(Protocol):
@@ -78,6 +80,7 @@
         )  # no whole request has come, nor a part of one
         self._idle: OrderedDict[_Visit, None] = OrderedDict()  # served before
         self._ids: set[str] = set()  # of the requests in hand
+        self._close_watch = CloseWatch()
         self._sweeper: asyncio.TimerHandle | None = None
         self._descriptors = descriptors
         self._budget = budget
@@ -279,7 +282,8 @@
                 self._progress(visit, len(data))
                 if parser.passing and upload.is_full:
                     visit.blocked = True
-                    await self._room(visit, upload)
+                    with self._leaving(visit, exchange):
+                        await upload.room()
                     visit.blocked, visit.came, visit.since = False, 0, asyncio.get_running_loop().time()
             exchange.came_at = visit.read_at
             exchange.deadline = min(exchange.came_at + exchange.wait_ms, self._life.latest)
@@ -290,26 +294,17 @@
             upload.finish(whole=False)
             raise
 
-    @staticmethod
-    async def _room(visit: "_Visit", upload: Upload) -> None:
-        """Wait until more may be read. Meanwhile only a look tells whether the client is still there."""
-        while upload.is_full:
-            try:
-                async with asyncio.timeout(LOOK_S):
-                    await upload.room()
-            except TimeoutError:
-                if visit.connection.has_ended():
-                    raise ConnectionLostError("the client left within its body") from None
+    def _leaving(self, visit: "_Visit", exchange: Exchange) -> AbstractContextManager[None]:
+        """While nothing is read from the client, only a look tells whether it is still there."""
+        return self._close_watch.watch(visit.connection, partial(self._desk.client_gone, exchange))
 
     async def _await_answer(self, visit: "_Visit", request: http1.Request, exchange: Exchange) -> bool:
         connection, first = visit.connection, exchange.first()
         while not first.done():
-            # A client that has gone shows only while a read is pending.
             if visit.parser.begun:  # it sent on ahead: no more is read until this one is answered
-                await asyncio.wait((first,), timeout=LOOK_S)
-                if not first.done() and connection.has_ended():
-                    raise ConnectionLostError("the client left behind what it sent ahead")
-                continue
+                with self._leaving(visit, exchange):
+                    await asyncio.wait((first,))
+                break
             pending = connection.start_read()
             either: set[asyncio.Future[Any]] = {first, pending}
             await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -238,43 +238,48 @@
             attempt.end(Result.ERROR if attempt.written else Result.NOT_SENT)
 
     async def _attempt(self, attempt: Attempt, stop_at: float) -> None:
-        if attempt.ended:
-            return
-        connection = await self._connection(attempt)
-        if attempt.ended:
-            return
-        exchange, address = attempt.exchange, attempt.address
-        if not exchange.closed and exchange.client_ended():
-            self.on_client_gone(exchange)  # seen here first: its end waits to be read, or behind unread bytes
-        if attempt.ended:
-            return
-        if exchange.closed or address not in self._ready or self._now() >= attempt.begin_by:
-            # Meanwhile it got its answer, the server left or its key's window closed: nothing new goes out.
-            attempt.end(Result.NOT_SENT)
-            return
+        if not self._may_begin(attempt):
+            return  # and takes no connection, which others may need
+        connection = self._pooled(attempt)
+        if connection is None:
+            connection = await self._connected(attempt)
+            if not self._may_begin(attempt):
+                return
+        # From that look to the first byte there is no turn of the loop, which could be a long one.
+        exchange = attempt.exchange
         self._tally.sends += 1
         attempt.begun = True
         wait_ms = exchange.wait_ms if stop_at == math.inf else stop_at - self._now()
         head = platform.request_to_endpoint(exchange.request, wait_ms)
+        await connection.write(head)
         if exchange.upload is None:
-            await connection.write(head)
             self._written(attempt)
             await self._read_answer(attempt, connection)
             return
         exchange.upload.begin()
-        sending = self._loop.create_task(self._send_body(attempt, connection, head, exchange.upload))
+        sending = self._loop.create_task(self._send_body(attempt, connection, exchange.upload))
         try:
             await self._read_answer(attempt, connection, sending)
         finally:
             sending.cancel()
 
+    def _may_begin(self, attempt: Attempt) -> bool:
+        """The last look. What was decided some turns ago, or before a connection came up, may be void."""
+        exchange = attempt.exchange
+        if not (attempt.ended or exchange.closed) and exchange.client_ended():
+            self.on_client_gone(exchange)  # seen here first: its end waits to be read, or behind unread bytes
+        if exchange.closed or attempt.address not in self._ready or self._now() >= attempt.begin_by:
+            # Meanwhile it got its answer, the server left or its key's window closed: nothing new goes out.
+            attempt.end(Result.NOT_SENT)
+        return not attempt.ended
+
     @staticmethod
     def _written(attempt: Attempt) -> None:
         if not attempt.ended:
             attempt.written = True
             attempt.exchange.written += 1
 
-    async def _send_body(self, attempt: Attempt, connection: Connection, head: bytes, upload: Upload) -> None:
+    async def _send_body(self, attempt: Attempt, connection: Connection, upload: Upload) -> None:
         """Pass the body on as it comes. Where that breaks, so does the answer that is awaited meanwhile.
 
         It counts as written from before its last byte is handed over: whether the kernel took that one
@@ -282,7 +287,6 @@
         """
         left = attempt.exchange.request.length
         try:
-            await connection.write(head)
             while (part := await upload.next_part()) is not None:
                 if left is not None:
                     left -= len(part)
@@ -336,15 +340,14 @@
             exchange.answer(200, response.fields.passed_on(), response.body)
         attempt.end(result, platform.load_of(response.fields, self._load_fields))
 
-    async def _connection(self, attempt: Attempt) -> Connection:
-        place = self._places[attempt.address]
-        pooled = self._pool.take(attempt.address, place)
-        if pooled is not None:
-            self._tally.reuses += 1
-            attempt.connection = pooled
-            return pooled
+    def _pooled(self, attempt: Attempt) -> Connection | None:
+        attempt.connection = self._pool.take(attempt.address, self._places[attempt.address])
+        self._tally.reuses += attempt.connection is not None
+        return attempt.connection
+
+    async def _connected(self, attempt: Attempt) -> Connection:
         self._tally.connects += 1
-        connecting = Connecting(place, self._descriptors, Use.ATTEMPT)
+        connecting = Connecting(self._places[attempt.address], self._descriptors, Use.ATTEMPT)
         attempt.connection = connecting.connection
         return await connecting.wait(self._connect_timeout_ms)
 
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -14,6 +14,7 @@
 _PEEK = int(
     socket.MSG_PEEK | socket.MSG_DONTWAIT
 )  # joined here: as enum members they cost more than the call
+RDHUP = int(getattr(select, "POLLRDHUP", 0))  # the other side has closed, whatever is unread; Linux tells it
 
 
 class ConnectionLostError(Exception):
@@ -97,7 +98,8 @@
 
     def has_ended(self) -> bool:
         """The other side has ended it, whether or not that was read. Unread bytes may stand before the end:
-        these hide it from a read, but not from the kernel."""
+        these hide it from a read, but not from the kernel. (Where a system has no such call, they do hide it
+        until they are read.) One system call, two where bytes are unread."""
         if self.closed:
             return True
         try:
@@ -107,9 +109,12 @@
             return False
         except OSError:
             return True
-        poll = select.poll()
-        poll.register(self.stream.socket, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        try:
+            poll = select.poll()
+            poll.register(self.stream.socket, RDHUP)
+            return bool(poll.poll(0))
+        except (AttributeError, OSError):
+            return False
 
     def close(self) -> None:
         """Close at once; the one place where the descriptor is given back."""
