--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -5,10 +5,13 @@
 """
 
 import asyncio
+import math
 import os
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -63,6 +66,8 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         client.writer.transport.abort()
         os.close(sock.detach())
+    elif how == "half-closed":  # it still reads
+        sock.shutdown(socket.SHUT_WR)
     else:
         sock.shutdown(socket.SHUT_RDWR)
 
@@ -73,15 +78,34 @@
     await b.until(lambda: len(bed.sidecar.pool) == 1)
 
 
+LONG = 200_000  # bytes of a body that passes through
+SHAPES = ["plain", "old", "body", "ahead", "long", "long behind"]
+
+
 def ask(client: b.Client, shape: str) -> None:
+    """Send a request, as one of `SHAPES`."""
+    long = b"POST /take/1 HTTP/1.1\r\nHost: a\r\nReq-Id: %s\r\nReq-Kind: take\r\nContent-Length: %d\r\n\r\n"
     match shape:
         case "plain":
             client.send("view")
+        case "old":  # neither a host nor a kept connection
+            client.writer.write(b"GET /view/1 HTTP/1.0\r\nReq-Id: old\r\nReq-Kind: view\r\n\r\n")
         case "body":
             client.send("take", 8.0, "POST", body=b"ink")
         case "ahead":  # bytes behind it hide the end from whoever reads
             client.send("view")
             client.writer.write(b"GET /view HTTP/1.1\r\nHost: a\r\n")
+        case "long" | "long behind":  # half of a body that passes through
+            client.writer.write(long % (b"long", LONG) + b"x" * (LONG // 2))
+
+
+def ask_more(client: b.Client, shape: str) -> None:
+    """What it sends at the very end, so that its end stands behind unread bytes."""
+    match shape:
+        case "ahead":
+            client.writer.write(b"Req-Kind: view\r\n")
+        case "long behind":
+            client.writer.write(b"x" * 1000)
 
 
 class Late:
@@ -101,6 +125,39 @@
         monkeypatch.setattr(Connecting, "wait", late)
 
 
+@dataclass(frozen=True)
+class Dialling:
+    """A request whose server is chosen, while the connection to it comes up."""
+
+    bed: b.Bed
+    endpoint: b.Endpoint
+    late: Late
+    client: b.Client
+    waiting: Waiting
+
+    async def outcomes(self) -> list[api.Result]:
+        """How its attempts ended, once one has."""
+        await b.until(lambda: bool(self.waiting.seen(api.Outcome)))
+        return [outcome.result for outcome in self.waiting.seen(api.Outcome)]
+
+
+@asynccontextmanager
+async def dialling(
+    monkeypatch: pytest.MonkeyPatch, ask: Callable[[b.Client], None], within_ms: float = math.inf
+) -> AsyncIterator[Dialling]:
+    """Only within so long may its attempt begin."""
+    one = b.Endpoint("s-1")
+    async with b.bed(one, discovery_up=False) as bed:
+        late = Late(monkeypatch)
+        client = await bed.client()
+        waiting = Waiting(bed)
+        ask(client)
+        number = await waiting.request()
+        waiting.say(api.Send(number, b"s-1", begin_by_ms=bed.sidecar._clock() + within_ms))
+        await b.until(lambda: late.waiting > 0)
+        yield Dialling(bed, one, late, client, waiting)
+
+
 class Script:
     """A discovery whose every answer is given by the test, on whichever connection the call came."""
 
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -21,40 +21,23 @@
     """Decided within the window, it was written after it: by then the group may have forgotten the key."""
 
     async def work() -> None:
-        one = b.Endpoint("s-1")
-        async with b.bed(one, discovery_up=False) as bed:
-            late = x.Late(monkeypatch)
-            client = await bed.client()
-            waiting = x.Waiting(bed)
-            client.send("book", 8.0, "POST", KEY)
-            number = await waiting.request()
-            now = bed.sidecar._clock
-            waiting.say(api.Send(number, b"s-1", begin_by_ms=now() + 1.0))
-            await b.until(lambda: late.waiting > 0)
+        async with x.dialling(monkeypatch, lambda client: client.send("book", 8.0, "POST", KEY), 1.0) as it:
+            now = it.bed.sidecar._clock
             over = now() + 1.0
             await b.until(lambda: now() > over)
-            late.up.set()
-            await b.until(lambda: bool(waiting.seen(api.Outcome)))
-            assert waiting.seen(api.Outcome)[0].result is api.Result.NOT_SENT and not one.requests
+            it.late.up.set()
+            assert await it.outcomes() == [api.Result.NOT_SENT] and not it.endpoint.requests
 
     b.run(work())
 
 
 def test_a_drain_that_is_told_while_a_connection_comes_up(monkeypatch: pytest.MonkeyPatch) -> None:
     async def work() -> None:
-        one = b.Endpoint("s-1")
-        async with b.bed(one, discovery_up=False) as bed:
-            late = x.Late(monkeypatch)
-            client = await bed.client()
-            waiting = x.Waiting(bed)
-            client.send("view")
-            waiting.say(api.Send(await waiting.request(), b"s-1"))
-            await b.until(lambda: late.waiting > 0)
+        async with x.dialling(monkeypatch, lambda client: client.send("view")) as it:
             drains = api.Endpoint(b"s-1", state=api.State.DRAINING)
-            bed.sidecar._driver.told(Listing(2, False, (drains,)))
-            late.up.set()
-            await b.until(lambda: bool(waiting.seen(api.Outcome)))
-            assert waiting.seen(api.Outcome)[0].result is api.Result.NOT_SENT and not one.requests
+            it.bed.sidecar._driver.told(Listing(2, False, (drains,)))
+            it.late.up.set()
+            assert await it.outcomes() == [api.Result.NOT_SENT] and not it.endpoint.requests
 
     b.run(work())
 
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 
 import pytest
 
@@ -13,13 +14,13 @@
 from tests import bed as b
 from tests import crossing as x
 
-LONG = 200_000  # bytes of a body that passes through
+BUSY_S = 0.06  # a turn of the loop that takes longer than the look at those who are not read
 
 
-@pytest.mark.parametrize("ending", [False, True])
-@pytest.mark.parametrize("how", ["closed", "reset"])
-@pytest.mark.parametrize("shape", ["plain", "body", "ahead"])
-def test_a_client_that_left_while_its_request_waited_for_a_limit(shape: str, how: str, ending: bool) -> None:
+@pytest.mark.parametrize("phase", ["ready", "draining", "ending"])
+@pytest.mark.parametrize("how", ["closed", "reset", "half-closed"])
+@pytest.mark.parametrize("shape", x.SHAPES)
+def test_a_client_that_left_while_its_request_waited_for_a_limit(shape: str, how: str, phase: str) -> None:
     """It went on for nobody: its client's end was not read yet when it got its server."""
 
     async def work() -> None:
@@ -28,12 +29,16 @@
             client = await bed.client()
             await x.pooled(bed, client)
             waiting = x.Waiting(bed)
-            if ending:
+            if phase == "draining":
+                bed.sidecar.life.drain()
+            if phase == "ending":
                 bed.sidecar.life.end(bed.sidecar._clock() + 8000.0)
             x.ask(client, shape)
             number = await waiting.request()
             await asyncio.sleep(0)
+            x.ask_more(client, shape)
             x.leave(client, how)
+            time.sleep(BUSY_S)  # and none of it is read yet, however long ago it was
             waiting.say(api.Send(number, b"s-1"))  # in the same turn of the loop
             await b.until(lambda: bool(waiting.seen(api.ClientGone)))
             await b.until(lambda: not bed.sidecar.clients.open)
@@ -93,8 +98,8 @@
             client = await bed.client()
             waiting = x.Waiting(bed)
             head = b"POST /take/1 HTTP/1.1\r\nHost: a\r\nReq-Id: long\r\nReq-Kind: take\r\n"
-            client.writer.write(head + b"Content-Length: %d\r\n\r\n" % (64 * LONG))
-            client.writer.write(b"x" * LONG * 8)
+            client.writer.write(head + b"Content-Length: %d\r\n\r\n" % (64 * x.LONG))
+            client.writer.write(b"x" * x.LONG * 8)
             await waiting.request()
             await b.until(lambda: any(visit.blocked for visit in bed.sidecar.clients._open.values()))
             x.leave(client, "reset")
@@ -105,23 +110,16 @@
     b.run(work())
 
 
-@pytest.mark.parametrize("shape", ["plain", "body", "ahead"])
+@pytest.mark.parametrize("shape", x.SHAPES)
 def test_a_client_that_left_while_a_connection_came_up(shape: str, monkeypatch: pytest.MonkeyPatch) -> None:
     async def work() -> None:
-        one = b.Endpoint("s-1")
-        async with b.bed(one, discovery_up=False) as bed:
-            late = x.Late(monkeypatch)
-            client = await bed.client()
-            waiting = x.Waiting(bed)
-            x.ask(client, shape)
-            waiting.say(api.Send(await waiting.request(), b"s-1"))
-            await b.until(lambda: late.waiting > 0)
-            x.leave(client, "closed")
-            late.up.set()
-            await b.until(lambda: bool(waiting.seen(api.Outcome)))
-            assert [outcome.result for outcome in waiting.seen(api.Outcome)] == [api.Result.NOT_SENT]
-            await b.until(lambda: not bed.sidecar.clients.open)
-            assert not one.requests and bed.sidecar.counters.gone_before_send == 1
+        async with x.dialling(monkeypatch, lambda client: x.ask(client, shape)) as it:
+            x.ask_more(it.client, shape)
+            x.leave(it.client, "closed")
+            it.late.up.set()
+            assert await it.outcomes() == [api.Result.NOT_SENT]
+            await b.until(lambda: not it.bed.sidecar.clients.open)
+            assert not it.endpoint.requests and it.bed.sidecar.counters.gone_before_send == 1
 
     b.run(work())
 
@@ -132,18 +130,10 @@
     """Also where nothing may be cancelled: what has not begun needs no leave, and others wait for its key."""
 
     async def work() -> None:
-        one = b.Endpoint("s-1")
-        async with b.bed(one, discovery_up=False) as bed:
-            late = x.Late(monkeypatch)
-            client = await bed.client()
-            waiting = x.Waiting(bed)
-            client.send("view")
-            waiting.say(api.Send(await waiting.request(), b"s-1"))
-            await b.until(lambda: late.waiting > 0)
-            x.leave(client, "closed")
-            await b.until(lambda: bool(waiting.seen(api.Outcome)))  # though the connection never comes up
-            assert waiting.seen(api.Outcome)[0].result is api.Result.NOT_SENT
-            assert bed.sidecar._servers.under_way == 0
+        async with x.dialling(monkeypatch, lambda client: client.send("view")) as it:
+            x.leave(it.client, "closed")
+            assert await it.outcomes() == [api.Result.NOT_SENT]  # though the connection never comes up
+            assert it.bed.sidecar._servers.under_way == 0
 
     b.run(work())
 
