Discovery: after a failed call none waits until one is answered; begun 4 s apart at most

Cause, confirmed: Discovery._keep_watching opened the next watch with its full wait (WATCH_MS + SLACK_MS, 61.5 s) though the call before it had failed. Accepted by a discovery that hangs, it kept the sidecar from asking for as long.

Mended: after a failure calls are looks (50 ms of wait, given up after 2.5 s: discovery gives up after 2 s) until one is answered; the next begins at most 4 s after the one before began. 12 s at most it was where lists are pushed; where they are asked for, the balancer's waits of up to 8 s, so a watch that failed now goes on by itself there too (first repeats spread by 150 ms an instance, 4 s at most). A fetch that failed is made again until it is answered or a watch tries on. A watch that met the end of a kept connection is made again as a look. A successor begins with a look.

Two tests say the new rule. test_a_call_that_crosses_the_end_of_a_kept_connection_is_made_again: the second call is a look of the same generation, and the waiting call follows its answer (before: the same call at once). test_a_watch_that_fails_begins_again_only_where_nobody_else_decides held that an asking sidecar leaves the repeat to the balancer, which is up to 8 s late; it now holds that it goes on by itself in both modes and that a second call for it begins no other.

--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from larkcrank.config.sidecar import Config, ConfigError
-from larkcrank.core.balancer import Balancer
+from larkcrank.core.balancer import ASK_EACH_MS, Balancer
 from larkcrank.program import handover, kept
 from larkcrank.program.clock import Clock
 from larkcrank.program.counters import Counters
@@ -78,6 +78,7 @@
             Random(self._rng.getrandbits(64)),
             self.counters,
             log.failure,
+            ASK_EACH_MS * site.decisions.instances / 1000.0 if site.decisions.must_ask else 0.0,
         )
         balancer = Balancer(site.decisions, Random(self._rng.getrandbits(64)), self._clock())
         self._balancer = balancer
@@ -234,6 +235,7 @@
             endpoints = tuple(server.endpoint for server in handed.learnt.servers)
             known = Listing(handed.generation or 0, True, endpoints, handed.places)
             self._discovery.go_on_from(handed.generation)
+            self._discovery.doubt()  # the process before may have had no answer of late
             self.log.event("taken_over", known=len(endpoints), taken=handed.learnt.known[1])
         else:
             self._take_up(self._config.kept)
--- a/larkcrank/routing/discovery.py
+++ b/larkcrank/routing/discovery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
 from random import Random
 from typing import Protocol
 
@@ -14,13 +15,24 @@
 # the wait is over, arrived or not. A sidecar cut off from it is then held to drains it can't hear of.
 WATCH_MS = 60000
 SLACK_MS = 1500.0  # a call not answered so long after its wait is silent; 2 s after it all counts as told
-FETCH_TIMEOUT_MS = 3000.0  # discovery itself gives a call up after 2 s
+FETCH_TIMEOUT_MS = 2500.0  # of a call that does not wait: discovery itself gives it up after 2 s
 REST_S = 2.0  # an answer that has begun must be whole by then, however long the call may wait for it
-AGAIN_S = (0.5, 8.0)  # between watches that fail, where nobody else decides when to ask
+# After a failed call a change counts as told 6 s after discovery has it and can be reached: until a call has
+# an answer none may wait (one that hangs would tell nothing for a minute), and the next one begins so soon
+# after the one before, at first and at most. With the 2 s that discovery takes at most that makes the 6 s.
+AGAIN_S = (1.0, 4.0)
+TURN_S = 0.5  # after a failed call, where it is by turns who calls
+LOOK_MS = 50  # wait of a call that is to find out whether discovery answers at all
 MAX_LIST = 4 << 20
 GATE_S = 0.1  # between looks whether a call may be made
 
 
+class Call(Enum):
+    WATCH = "watch"  # waits for news
+    LOOK = "look"  # news by now, where nobody knows whether discovery answers at all
+    LIST = "list"  # the whole list
+
+
 class Tally(Protocol):
     """What discovery counts."""
 
@@ -31,7 +43,7 @@
 
 
 class Discovery:
-    """Asks, and tells the list's changes in order. With `always` a failed watch begins again by itself."""
+    """Asks, and tells the list's changes in order. A call that fails is made again, until one is answered."""
 
     def __init__(
         self,
@@ -43,18 +55,23 @@
         rng: Random,
         tally: Tally,
         failed: Callable[[str, BaseException], None],
+        spread_s: float = 0.0,
     ) -> None:
+        """`always`: watch also after a move that comes before the first `watch`. `spread_s`: over which first
+        repeats of calls are spread, since many fail together; `AGAIN_S` bounds it."""
         self._place = place
         self._descriptors = descriptors
         self._names = names
         self._connect_timeout_ms = connect_timeout_ms
         self._always = always
+        self._spread_s = spread_s
         self._rng = rng
         self._tally = tally
         self._failed = failed
         self._generation: int | None = None
         self._watch: asyncio.Task[None] | None = None
         self._wanted = False  # a watch, also while none is under way
+        self._doubted = False  # the last call of a watch failed, and none has had an answer since
         self._told = 0  # answers of watches
         self._moved = False  # to another discovery than the configuration at the start named
         self._fetch: asyncio.Task[None] | None = None
@@ -83,6 +100,10 @@
         if not self._moved:
             self._generation = generation
 
+    def doubt(self) -> None:
+        """Nobody knows whether discovery answers just now: the next call finds out, before one that waits."""
+        self._doubted = True
+
     def watch(self, on: bool = True) -> None:
         """Watch from now on. While a watch is under way another call would tell nothing more."""
         self._wanted = on
@@ -99,7 +120,7 @@
         if self.gate is not None and not self.gate():
             return  # all doubt their lists after a loss: those whose turn it is ask for the others
         if not self._closed and (self._fetch is None or self._fetch.done()):
-            self._fetch = asyncio.get_running_loop().create_task(self._fetch_once())
+            self._fetch = asyncio.get_running_loop().create_task(self._keep_fetching())
 
     def move(self, place: tuple[str, int]) -> None:
         """Ask at another address from now on. Its generations are its own: it is asked for the whole list.
@@ -111,6 +132,7 @@
         self._end_calls()  # nothing that the old one still answers may overwrite the new list
         self._place, self._generation, self._moved = place, None, True
         self._watch = self._fetch = None
+        self._doubted = False
         if self._wanted or self._always:
             self.watch()
 
@@ -126,65 +148,79 @@
 
     async def _keep_watching(self) -> None:
         line = _Line(self._place, self._descriptors, self._connect_timeout_ms)
-        wait_s = AGAIN_S[0]
+        pauses = _Pauses(self._spread_s, self._rng)
+        loop = asyncio.get_running_loop()
         try:
             while True:
-                while self.gate is not None and not self.gate():
-                    await asyncio.sleep(GATE_S)
-                error = await self._ask(line, WATCH_MS)
+                await self._leave()
+                began = loop.time()
+                waits = self._generation is not None and not self._doubted
+                error = await self._ask(line, Call.WATCH if waits else Call.LOOK)
+                took = loop.time() - began
+                if waits and (error is None or took > AGAIN_S[1]):
+                    pauses.begin()
                 if error is None:
-                    wait_s = AGAIN_S[0]
                     continue
-                silent = isinstance(error, TimeoutError) and self._generation is not None
-                ends = not (silent or self._always or self.gate is not None)
-                if ends:
-                    self._watch = None  # before it is told: what is told may ask for the next one
+                self._doubted = True
                 self.on_failure(str(error) or type(error).__name__)
-                if ends:
-                    return
-                if silent:
+                if waits and isinstance(error, TimeoutError):
                     continue  # it took its time, and what it missed counts as told soon
-                if self.gate is not None:
-                    await asyncio.sleep(AGAIN_S[0])
-                else:
-                    await asyncio.sleep(wait_s * (0.5 + self._rng.random()))
-                    wait_s = min(2 * wait_s, AGAIN_S[1])
+                await self._pause(pauses, 0.0 if waits else took)
         finally:
             line.close()
 
-    async def _fetch_once(self) -> None:
+    async def _keep_fetching(self) -> None:
+        """Until the list has come, or a watch that failed tries on."""
         line = _Line(self._place, self._descriptors, self._connect_timeout_ms)
+        pauses = _Pauses(self._spread_s, self._rng)
+        loop = asyncio.get_running_loop()
         try:
-            error = await self._ask(line, None)
-            self._fetch = None
-            if error is not None:
-                self.on_failure(str(error) or type(error).__name__)
+            while True:
+                began = loop.time()
+                error = await self._ask(line, Call.LIST)
+                tries_on = self._doubted and self._watch is not None and not self._watch.done()
+                if error is None or tries_on:
+                    self._fetch = None  # before it is told: what is told may ask for the next one
+                if error is not None:
+                    self.on_failure(str(error) or type(error).__name__)
+                if error is None or tries_on:
+                    return
+                await self._pause(pauses, loop.time() - began)
+                await self._leave()
         finally:
             line.close()
 
-    async def _ask(self, line: "_Line", wait_ms: int | None) -> Exception | None:
-        """One call, a watch's or for the whole list; why it failed, None where it did not."""
+    async def _leave(self) -> None:
+        """Wait for leave to call."""
+        while self.gate is not None and not self.gate():
+            await asyncio.sleep(GATE_S)
+
+    async def _pause(self, pauses: "_Pauses", took_s: float) -> None:
+        """After a call that failed in `took_s`: the next one begins so soon after that one began."""
+        wait_s = pauses.draw() - took_s if self.gate is None else TURN_S
+        await asyncio.sleep(max(wait_s, 0.0))
+
+    async def _ask(self, line: "_Line", call: Call) -> Exception | None:
+        """One call; why it failed, None where it did not."""
         told = self._told
         self._tally.discovery_calls += 1
-        target, timeout = discovery.LIST_TARGET, FETCH_TIMEOUT_MS
-        if wait_ms is not None and self._generation is not None:
-            target, timeout = discovery.watch_target(self._generation, wait_ms), wait_ms + SLACK_MS
+        whole = call is Call.LIST or self._generation is None
         try:
-            async with asyncio.timeout(timeout / 1000.0):
-                response = await line.get(target)
+            response = await self._get(line, call)
             if response.status != 200:
                 raise ConnectionLostError(f"answered {response.status}")
             listing = discovery.parse(response.body, self._names)
-            if target == discovery.LIST_TARGET and not listing.whole:
+            if whole and not listing.whole:
                 listing = Listing(listing.generation, True, listing.endpoints, listing.places)
             self._tally.lists += 1
-            if wait_ms is not None:
+            self._doubted = False
+            if call is not Call.LIST:
                 self._told += 1
             elif told != self._told:
                 return (
                     None  # the watch has told something since this was asked for: it lives, and knows better
                 )
-            dead = wait_ms is None and listing.generation != self._generation
+            dead = call is Call.LIST and listing.generation != self._generation
             self._generation = listing.generation
             if dead and self._watch is not None and not self._watch.done():
                 # A watch that lives would have told this: a machine that vanished is silent on old ones.
@@ -209,6 +245,48 @@
             return error
         return None
 
+    async def _get(self, line: "_Line", call: Call) -> http1.Response:
+        try:
+            return await self._get_once(line, call)
+        except _CrossedError:
+            # Made once more, but not to wait: what ended the connection may be discovery's own end.
+            return await self._get_once(line, Call.LOOK if call is Call.WATCH else call)
+
+    async def _get_once(self, line: "_Line", call: Call) -> http1.Response:
+        target, timeout = discovery.LIST_TARGET, FETCH_TIMEOUT_MS
+        if self._generation is not None and call is Call.LOOK:
+            target = discovery.watch_target(self._generation, LOOK_MS)
+        elif self._generation is not None and call is Call.WATCH:
+            target, timeout = discovery.watch_target(self._generation, WATCH_MS), WATCH_MS + SLACK_MS
+        async with asyncio.timeout(timeout / 1000.0):
+            return await line.get(target)
+
+
+class _Pauses:
+    """From the beginning of a call that failed to that of the next one, in a row of them.
+
+    Many fail together. Their first repeats are spread evenly; later ones come at least half of the longest
+    time apart and differ by as much, so that callers do not fall into step.
+    """
+
+    def __init__(self, spread_s: float, rng: Random) -> None:
+        self._first_s = min(max(spread_s, AGAIN_S[0]), AGAIN_S[1])
+        self._rng = rng
+        self.begin()
+
+    def begin(self) -> None:
+        self._least, self._longest_s = 0.0, self._first_s
+
+    def draw(self) -> float:
+        """Seconds; `AGAIN_S[1]` at most."""
+        drawn = self._longest_s * (self._least + (1.0 - self._least) * self._rng.random())
+        self._least, self._longest_s = 0.5, min(2 * self._longest_s, AGAIN_S[1])
+        return drawn
+
+
+class _CrossedError(ConnectionLostError):
+    """The call met the end of a kept connection, which was on its way."""
+
 
 class _Line:
     """A connection to discovery, kept between calls."""
@@ -218,15 +296,17 @@
         self._connection: Connection | None = None
 
     async def get(self, target: bytes) -> http1.Response:
-        """One call. One that crosses the end of a kept connection is made once more, on a new one."""
+        """One call. Raises `_CrossedError` where it met the end of a kept one; the next has a new one."""
         loop = asyncio.get_running_loop()
         if self._connection is not None and self._connection.is_quiet():
             began = loop.time()
             try:
                 return await self._get(self._connection, target)
-            except ConnectionLostError:
+            except ConnectionLostError as error:
                 if loop.time() - began > self._connect_timeout_ms / 1000.0:
                     raise  # it had been taken: all watches may have ended, and all would come at once
+                self.close()
+                raise _CrossedError(str(error)) from None
         self.close()
         connecting = Connecting(self._place, self._descriptors, Use.DISCOVERY)
         self._connection = connecting.connection
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -104,13 +104,18 @@
 
 
 def test_the_waits_of_discovery_calls_fit_what_counts_as_told() -> None:
-    """2 s after a call's wait; 4 s after a move to another discovery, in which one call may hang."""
+    """2 s after a call's wait; 4 s after a move to another discovery, in which one call may hang; 6 s after
+    the return of one that failed, where it takes 2 s for an answer at most."""
     assert discovery.SLACK_MS + 250.0 < 2000.0 and discovery.FETCH_TIMEOUT_MS < 4000.0
+    assert 2000.0 < discovery.FETCH_TIMEOUT_MS < 1000.0 * discovery.AGAIN_S[1] <= 6000.0 - 2000.0
     assert discovery.WATCH_MS <= 60000
 
 
 def test_a_call_that_crosses_the_end_of_a_kept_connection_is_made_again() -> None:
-    """The end was on its way when the call went out: nobody has failed, and no pause is due."""
+    """The end was on its way when the call went out: nobody has failed, and no pause is due.
+
+    But it may have been discovery's own end: the second call does not wait, the one after it does.
+    """
 
     async def work() -> None:
         async with x.Asker(always=False) as asker:
@@ -120,7 +125,10 @@
             asker.script.answer(0, 5, "Ready", whole=False)
             await asker.script.called(2)
             asker.script.calls[1][1].close()  # the second call's answer is its end
-            assert await asker.script.called(3) == asker.script.calls[1][0]
+            assert asker.script.calls[1][0] == b"/registry/instances?after=5&wait_ms=60000"
+            assert await asker.script.called(3) == b"/registry/instances?after=5&wait_ms=50"
+            asker.script.answer(2, 5, "Ready", whole=False)
+            assert await asker.script.called(4) == asker.script.calls[1][0]
             assert not asker.failures
 
     b.run(work())
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -363,14 +363,18 @@
 
 
 @pytest.mark.parametrize("always", [False, True])
-def test_a_watch_that_fails_begins_again_only_where_nobody_else_decides(always: bool) -> None:
+def test_a_watch_that_fails_begins_again_by_itself_and_a_call_for_it_is_no_other(always: bool) -> None:
+    """Also where the balancer says when to begin: its waits are longer than a failed call allows."""
+
     async def work() -> None:
         discovery, lists, failures = await watched(("127.0.0.1", 1), always)
         discovery.watch()
-        await b.until(lambda: len(failures) == (2 if always else 1))
-        assert not lists
+        await b.until(lambda: len(failures) == 1)
+        tasks = asyncio.all_tasks()
         discovery.watch()
-        await b.until(lambda: len(failures) == (3 if always else 2))
+        assert asyncio.all_tasks() == tasks  # the one that failed goes on
+        await b.until(lambda: len(failures) == 3)
+        assert not lists
         discovery.close()
 
     b.run(work())
