Cold servers: what answers show lifts a quota no higher than the settings bear

Warmth took an instance from 0.7 of what a cold server surely has to its whole even share after four answers in time; neither the cold share nor the fall multiple bounded it. On thin traffic and where cold servers answer slowly the suspicion was not confirmed: owed answers hold the sum before.

Now warmth lifts the quota to half the settings' multiple of what the server surely has, at most: the sum stays within N up to twice an even share's load.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -55,7 +55,8 @@
 LOOK_MOST = 64  # servers looked at for one request in one event
 RETRY_SHARE = 0.2  # further attempts allowed, as a share of requests taken
 RETRY_SAVED = 10.0  # further attempts that a quiet time may save up
-COLD_CAUTION = 0.7  # of the share of its capacity that a cold server surely has; more as its answers show
+COLD_CAUTION = 0.7  # of the share of its capacity that a cold server surely has; more as its answers show ...
+COLD_CLAIM = 0.5  # ... up to this share of what would push it over: twice its even share still does not
 RATE_MS = 2000.0  # time constant of the rate of requests
 TENANT_MS = 5000.0  # time constant of what a tenant has had
 ASK_EACH_MS = 150.0  # of spread for each instance's call: the service takes them in turn, a few a second
@@ -306,10 +307,8 @@
         if cold <= 0 or not server.endpoint.started_at:
             return True
         sure = 1 - (1 - self._set.cold_from) * min(cold / self._set.warm_after_ms, 1.0)
-        rate = max(COLD_CAUTION * sure, server.warmth) * self._even * (server.size if self._weigh else 1.0)
-        server.cold_credit = min(server.cold_credit + rate * (self._now - server.cold_at), 1.0)
-        server.cold_at = self._now
-        return server.cold_credit >= 1.0
+        part = max(COLD_CAUTION * sure, min(server.warmth, COLD_CLAIM * self._set.fall_multiple * sure))
+        return server.earn(self._now, part * self._even * (server.size if self._weigh else 1.0)) >= 1.0
 
     def _pick(self, job: Job) -> Server | None:
         """The next server in turn with quota left that this request may go to."""
--- a/larkcrank/core/state.py
+++ b/larkcrank/core/state.py
@@ -70,6 +70,12 @@
     mark: int = 0  # a checksum of its address
     listed: bool = True  # or kept though the list leaves it out or calls it gone
 
+    def earn(self, now: float, rate: float) -> float:
+        """Sends left of its cold quota, at most one, after it has grown at this rate up to now."""
+        self.cold_credit = min(self.cold_credit + rate * (now - self.cold_at), 1.0)
+        self.cold_at = now
+        return self.cold_credit
+
     def draw(self, subject: int, by_size: bool) -> float:
         """Weighted rendezvous hashing (Schindelhauer and Schomaker, 2005): the largest are a key's homes."""
         share = (hash((self.mark, subject)) % 65521 + 1) / 65522
