--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -82,7 +82,7 @@
         self._descriptors = descriptors
         self._budget = budget
         self._max_body = max_body
-        descriptors.add_spare(Use.CLIENT, self._make_way)
+        descriptors.add_spare(Use.CLIENT, self._make_way, self._longest)
 
     @property
     def open(self) -> int:
@@ -118,6 +118,12 @@
         old = asyncio.get_running_loop().time() - REST_S
         return self._close_first(self._silent, old) or self._close_first(self._idle, old)
 
+    def _longest(self) -> float:
+        """Since when the one that has rested longest does so."""
+        return min(
+            (next(iter(resting)).since for resting in (self._silent, self._idle) if resting), default=math.inf
+        )
+
     @staticmethod
     def _close_first(resting: "OrderedDict[_Visit, None]", since: float) -> bool:
         """Close the one that has rested longest, if it has since then."""
--- a/larkcrank/transport/listener.py
+++ b/larkcrank/transport/listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import select
 import socket
 from collections.abc import Callable
 
@@ -71,6 +72,8 @@
         taken = 0
         while taken < most:
             taken += 1
+            if not self._descriptors.has_room(self._use) and not self._someone_waits():
+                return True  # nothing is closed to make way for nobody
             if not self._descriptors.take(self._use):
                 self._descriptors.when_free(self._watch)
                 self._rest()
@@ -96,6 +99,11 @@
             self._accepted(connection)
         return True
 
+    def _someone_waits(self) -> bool:
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        return bool(poll.poll(0))
+
     def _rest(self) -> None:
         """A listening socket that can't be served would wake the loop without end."""
         self._loop.remove_reader(self._socket.fileno())
--- a/larkcrank/transport/pool.py
+++ b/larkcrank/transport/pool.py
@@ -1,6 +1,7 @@
 """Idle connections to endpoints, kept for the next request."""
 
 import asyncio
+import math
 from collections import OrderedDict
 
 from larkcrank.core.interface import Address
@@ -17,7 +18,7 @@
         self._loop = asyncio.get_running_loop()
         self._idle: OrderedDict[Connection, tuple[Address, asyncio.TimerHandle]] = OrderedDict()
         self._keep_s = keepalive_ms * IDLE_SHARE / 1000.0
-        descriptors.add_spare(Use.ATTEMPT, self._close_oldest)
+        descriptors.add_spare(Use.ATTEMPT, self._close_oldest, self._oldest)
 
     def __len__(self) -> int:
         return len(self._idle)
@@ -56,6 +57,12 @@
             found[1].cancel()
             connection.close()
 
+    def _oldest(self) -> float:
+        """Since when the one that has been idle longest is so."""
+        for _, timer in self._idle.values():
+            return timer.when() - self._keep_s
+        return math.inf
+
     def _close_oldest(self) -> bool:
         if not self._idle:
             return False
