--- a/larkcrank/lab/bench.py
+++ b/larkcrank/lab/bench.py
@@ -204,7 +204,10 @@
             rng = Random(self._rng.getrandbits(64))
             place = lambda child=child: child.place  # noqa: E731
             slack_s = scenario.slack_ms / 1000.0
-            clients = Clients(index, scenario.load, self._classes, place, rng, self._ledger, slack_s)
+            load = scenario.load
+            if load.heavy_one_in and index % load.heavy_one_in == 0:
+                load = msgspec.structs.replace(load, rate=load.rate * load.heavy_times)
+            clients = Clients(index, load, self._classes, place, rng, self._ledger, slack_s)
             self._clients.append(clients)
         for endpoint in self._endpoints:
             self._registry.change(endpoint, "Ready")
--- a/larkcrank/lab/cold.py
+++ b/larkcrank/lab/cold.py
@@ -9,6 +9,7 @@
 import math
 from collections import deque
 from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field, replace
 from functools import partial
 from random import Random
@@ -131,6 +132,47 @@
     during: bool  # while any server was cold
 
 
+def cells(base: Case) -> dict[str, Case]:
+    """The plays that a table tells, by name."""
+    return {
+        "all cold at once": replace(base, scenario="all"),
+        "one cold among warm": replace(base, scenario="one"),
+        "release in steps": replace(base, scenario="release"),
+        "half of the processes restart": replace(base, scenario="restarts"),
+        "count told: half": replace(base, scenario="release", told=0.5),
+        "count told: twice": replace(base, scenario="release", told=2.0),
+        "classes of unlike work": replace(base, scenario="release", unlike=True),
+    }
+
+
+def drawn(base: Case) -> Case:
+    """The same play with settings and servers drawn by its seed."""
+    rng = Random(base.seed)
+    return replace(
+        base,
+        servers=rng.choice([4, 6, 10, 16]),
+        workers=rng.choice([1, 2, 4]),
+        work_ms=rng.choice([60.0, 120.0, 240.0]),
+        load=rng.uniform(0.5, 1.5),
+        cold_from=rng.choice([0.12, 0.18, 0.3, 0.4]),
+        fall_multiple=rng.choice([2.0, 2.5, 3.0, 4.0]),
+        warm_ms=rng.uniform(5000.0, 10_000.0),
+        fall_ms=rng.choice([1000.0, 1500.0, 2000.0, 3000.0]),
+        listed_sizes=rng.random() < 0.7,
+        quick=rng.random() < 0.5,
+    )
+
+
+def play(case: Case) -> Found:
+    return Play(case).play()
+
+
+def play_all(cases: list[Case], cores: int) -> list[Found]:
+    """Each case on one of so many processes, in their order."""
+    with ProcessPoolExecutor(cores) as pool:
+        return list(pool.map(play, cases, chunksize=4))
+
+
 class Play:
     """Instances before model servers on one heap."""
 
--- a/larkcrank/lab/endpoints.py
+++ b/larkcrank/lab/endpoints.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -19,6 +20,16 @@
 from larkcrank.protocol import http1
 
 
+def excess(calls: float, allowed: float) -> float:
+    """Calls beyond N, in roots of N."""
+    return (calls - allowed) / math.sqrt(allowed)
+
+
+def nearness(calls: float, allowed: float) -> float:
+    """Calls, as a share of what N and chance come to: above 1 the rule would be broken."""
+    return calls / (allowed + 2.0 * math.sqrt(allowed) + 2.0)
+
+
 class Keys:
     """Keys that groups have met, each until its window is over."""
 
@@ -142,11 +153,19 @@
         while self._sent and self._sent[0][0] < now - span:
             self._sent.popleft()
         can = self._set.workers * speed * self._set.fall_ms
-        if sum(one for _, one in self._sent) > self._set.fall_multiple * can:
+        got = sum(one for _, one in self._sent)
+        self._note_cold(got / self._set.service_ms, self._set.fall_multiple * can / self._set.service_ms)
+        if got > self._set.fall_multiple * can:
             self.fell = True
             self._ledger.event("fell", self.name, f"sent over {self._set.fall_multiple} times what it can do")
             self.die()
 
+    def _note_cold(self, calls: float, allowed: float) -> None:
+        """Keep its worst window; calls and what is allowed are requests of mean work."""
+        worst = self._ledger.cold.get(self.name)
+        if math.isfinite(allowed) and (worst is None or nearness(calls, allowed) > nearness(*worst)):
+            self._ledger.cold[self.name] = calls, allowed
+
     def _begin(self) -> None:
         loop = asyncio.get_running_loop()
         while self._waiting and self._busy < self._set.workers:
--- a/larkcrank/lab/ledger.py
+++ b/larkcrank/lab/ledger.py
@@ -79,6 +79,8 @@
         self.tolds: list[Told] = []
         self.events: list[Event] = []
         self.list_calls: list[tuple[float, int]] = []  # when, by whom
+        # By endpoint: calls of mean work in its worst window while cold, and N, what the rule allowed then.
+        self.cold: dict[str, tuple[float, float]] = {}
         self.connections = 0  # to endpoints
         self.datagrams = 0
         self._began = time.monotonic()
--- a/larkcrank/lab/report.py
+++ b/larkcrank/lab/report.py
@@ -13,6 +13,7 @@
 
 from larkcrank.config.settings import convert
 from larkcrank.lab.bench import Played, Settled, Use
+from larkcrank.lab.endpoints import excess, nearness
 from larkcrank.lab.ledger import Ask
 from larkcrank.lab.rules import Breach
 from larkcrank.lab.scenario import Scenario, members
@@ -65,6 +66,7 @@
     counters: dict[str, int]
     came_back: int = 0  # tries of clients that had been refused
     came_back_served: float = -1.0  # share of them that were served
+    cold: dict[str, tuple[float, float]] = {}  # by endpoint: calls in its worst window while cold, and N
 
 
 def aims(scenario: Scenario) -> dict[str, float]:
@@ -128,6 +130,7 @@
         {key: value for key, value in played.counters.items() if isinstance(value, int)},
         len(back),
         sum(ask.status == 200 for ask in back) / len(back) if back else -1.0,
+        ledger.cold,
     )
 
 
@@ -149,6 +152,14 @@
     }
     if result.came_back:
         found |= {"came back": float(result.came_back), "served, of those": result.came_back_served}
+    if result.cold:
+        calls, allowed = max(result.cold.values(), key=lambda one: nearness(*one))
+        found["calls at a cold endpoint, in the worst window"] = calls
+        found["N then"] = allowed
+        found["beyond N, in roots of N"] = excess(calls, allowed)
+        shares = [nearness(*one) for one in result.cold.values()]
+        found["share of N and chance, worst"] = max(shares)
+        found["share of N and chance, median of the cold ones"] = median(shares)
     found |= {f"served, {one.name}": one.served for one in result.windows}
     for index, one in enumerate(result.settled):
         found[f"settled {index} ({one.call}), s"] = one.took
--- a/larkcrank/lab/scenario.py
+++ b/larkcrank/lab/scenario.py
@@ -83,6 +83,8 @@
     rate: float  # requests a second that a process's clients mean to ask
     classes: dict[str, float]  # name: share
     subjects: int = 0  # different `item`s; 0: requests name none
+    heavy_one_in: int = 0  # one process in so many, from the first on ...
+    heavy_times: float = 1.0  # ... has clients that ask so many times as much
     repeats: int = 0  # times that a client comes back after a refusal
     patience: float = 1.0  # share of the class's deadline that a client waits
 
@@ -222,6 +224,8 @@
     _least("load.rate", found.load.rate, 0.0)
     _least("load.subjects", found.load.subjects, 0)
     _least("load.repeats", found.load.repeats, 0)
+    _least("load.heavy_one_in", found.load.heavy_one_in, 0)
+    _least("load.heavy_times", found.load.heavy_times, 0.0)
     for name, share in found.load.classes.items():
         _least(f"load.classes.{name}", share, 0.0)
     if not sum(found.load.classes.values()) > 0.0:
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -7,7 +7,11 @@
 
 from larkcrank.core.balancer import COLD_CLAIM, Balancer
 from larkcrank.core.interface import Endpoint, Outcome, Request, Result, Send, ServerList, Settings
-from larkcrank.lab.cold import Case, Found, Play, Scenario
+from larkcrank.lab.cold import Case, Scenario, play
+from larkcrank.lab.endpoints import Endpoint as BenchEndpoint
+from larkcrank.lab.endpoints import Keys, excess, nearness
+from larkcrank.lab.ledger import Ledger
+from larkcrank.lab.scenario import Endpoints
 from tests.test_balancer import CLASSES, VIEW, address
 
 DENSE = Case(
@@ -16,10 +20,6 @@
 THIN = Case(servers=6, work_ms=200.0, workers=2, play_ms=6000.0)
 
 
-def play(case: Case) -> Found:
-    return Play(case).play()
-
-
 @pytest.mark.parametrize("seed", [1, 2])
 def test_what_answers_show_is_no_leave_to_send_more_than_the_settings_allow(seed: int) -> None:
     """A release in steps, overloaded, cold servers that answer soon up to a point: all instances are shown
@@ -65,3 +65,23 @@
         balancer.handle(now + 1.0, done)
     claim = COLD_CLAIM * multiple * cold_from
     assert 0.9 * claim * 500 < to_cold < 1.15 * claim * 500
+
+
+def test_the_fleet_bench_counts_a_cold_endpoints_worst_window(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Ten workers at 100 ms, a tenth of that while cold, twice for 2 s: N is 40 requests of mean work."""
+    now, ledger = 10.0, Ledger()
+    monkeypatch.setattr(ledger, "now", lambda: now)
+    settings = Endpoints(
+        1, workers=10, service_ms=100.0, cold_from=0.1, warm_after_ms=1e9, fall_multiple=2.0, fall_ms=2000.0
+    )
+    endpoint = BenchEndpoint(0, "s-0", "here", settings, {}, Keys(), Random(1), ledger, lambda _: None)
+    endpoint.start()
+    for each, work_ms in ((12.0, 100.0), (12.5, 50.0), (13.0, 300.0), (16.0, 100.0)):
+        now = each
+        endpoint._watch_cold(work_ms)
+    calls, allowed = ledger.cold["s-0"]
+    assert calls == pytest.approx(4.5) and allowed == pytest.approx(40.0, rel=1e-3)
+    assert excess(49.0, 36.0) == pytest.approx(13.0 / 6.0) and nearness(50.0, 36.0) == pytest.approx(1.0)
+    for _ in range(40):
+        endpoint._watch_cold(100.0)
+    assert endpoint.fell and ledger.cold["s-0"][0] == pytest.approx(41.0)
