--- /dev/null
+++ b/larkcrank/lab/scale/path.py
@@ -0,0 +1,576 @@
+"""What a sidecar adds to a call, by stage and in whole, and what that makes of calls in a row.
+
+One real sidecar on loopback; clients, endpoints and discovery are this process. Calls with the sidecar and
+without it come by turns at random moments in the same run, so that a busy machine does the same to both.
+The endpoint answers at its moment: what is added is the way there and the way back, the service left out.
+"""
+
+import asyncio
+import gc
+import itertools
+import math
+import os
+import re
+import resource
+import tempfile
+import time
+from bisect import bisect
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from functools import partial
+from pathlib import Path
+from random import Random
+from typing import Any, cast
+
+import click
+import msgspec
+import numpy
+import uvloop
+
+from larkcrank.lab.processes import Child, ProcessError
+from larkcrank.lab.scale import machine, slopes
+from larkcrank.lab.scale.alarm import Alarm
+from larkcrank.lab.scale.fit import FitError
+from larkcrank.lab.scale.slopes import Slope, made
+from larkcrank.lab.scale.stamped import FILE, QUEUED, STAGES, Stamps
+from larkcrank.lab.settings import SETTINGS, merged
+
+RATES = (20, 80, 200, 400)  # calls a second of one sidecar; 940,000 over 12,000 are 78
+SEEDS = (1, 2, 3)
+ENDPOINTS = 28  # of a service
+SERVICE_S = 0.004
+LEAST_CALLS, LEAST_STAMPED, LEAST_S = 1200, 600, 10.0
+QUIET_S = 5e-5  # in the run queue
+WARM_S = 2.0
+IDLE_S = 3.0
+CONNECTIONS = 24  # opened beforehand; more are opened where all are busy
+LATEST_S = 5.0  # after the last call its answer must have come
+ROWS = (1, 2, 3, 5, 7)  # calls in a row
+ROW_RATE = 80  # at which what they are added is taken
+COMMAND = "python -m larkcrank scale path"
+DRAWS = 200_000
+
+_ID = re.compile(rb"\r\nReq-Id: ([^\r]+)\r\n", re.IGNORECASE)
+_REQUEST = (
+    b"GET /look/1 HTTP/1.1\r\nHost: shop.local\r\nAccept: application/json\r\nUser-Agent: bench/1\r\n"
+    b"Req-Kind: look\r\nReq-Deadline: 2.0\r\nReq-Id: %s\r\n\r\n"
+)
+_BODY = b"x" * 200
+_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s" % (
+    len(_BODY),
+    _BODY,
+)
+
+
+STAGE_WORDS = {
+    "read": "client's write to the sidecar's read",
+    "parsed": "request parsed",
+    "taken": "request made a call",
+    "decided": "endpoint decided",
+    "going": "connection taken, head made",
+    "at the endpoint": "sidecar's write to the endpoint's read",
+    "heard": "endpoint's write to the sidecar's read",
+    "answered": "answer parsed",
+    "replying": "outcome decided, client's side woken",
+    "at the client": "sidecar's write to the client's read",
+}
+
+
+class PathError(Exception):
+    """The run came to no figure; the message says why."""
+
+
+@dataclass(slots=True)
+class Asked:
+    """One call's moments, by `time.monotonic`."""
+
+    number: str
+    direct: bool
+    sent: float = 0.0
+    came: float = 0.0  # whole at the endpoint
+    left: float = 0.0  # handed over by the endpoint
+    back: float = 0.0
+
+    @property
+    def added_s(self) -> float:
+        return self.came - self.sent + self.back - self.left
+
+
+class _EndpointSide(asyncio.Protocol):
+    def __init__(self, bench: "Bench") -> None:
+        self._bench, self._held = bench, b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        came = time.monotonic()
+        self._held += data
+        if not self._held.endswith(b"\r\n\r\n"):
+            return
+        found, self._held = _ID.search(self._held), b""
+        if found is None:
+            self._transport.abort()
+            return
+        asked = self._bench.calls[found[1].decode()]
+        asked.came = came
+        self._bench.alarm.at(came + SERVICE_S, lambda: self._answer(asked))
+
+    def _answer(self, asked: Asked) -> None:
+        asked.left = time.monotonic()
+        self._transport.write(_ANSWER)
+
+
+class _ClientSide(asyncio.Protocol):
+    def __init__(self, idle: "list[_ClientSide]") -> None:
+        self._idle, self._held = idle, b""
+        self._asked: Asked | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+
+    def send(self, asked: Asked) -> None:
+        self._asked = asked
+        text = _REQUEST % asked.number.encode()
+        asked.sent = time.monotonic()
+        self._transport.write(text)
+
+    def data_received(self, data: bytes) -> None:
+        back = time.monotonic()
+        self._held += data
+        if not self._held.endswith(_BODY) or self._asked is None:
+            return
+        if self._held.startswith(b"HTTP/1.1 200 "):
+            self._asked.back = back
+        self._held, self._asked = b"", None
+        self._idle.append(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self in self._idle:
+            self._idle.remove(self)
+
+
+class _Discovery(asyncio.Protocol):
+    """Its list never changes: whoever watches is told so when the wait is over."""
+
+    def __init__(self, whole: bytes) -> None:
+        self._whole = whole
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        wait = re.search(rb"wait_ms=(\d+)", data)
+        if wait is None:
+            self._say(self._whole)
+        else:
+            none = b'{"generation": 1, "reset": false, "instances": []}'
+            asyncio.get_running_loop().call_later(int(wait[1]) / 1000.0, self._say, none)
+
+    def _say(self, body: bytes) -> None:
+        self._transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+
+class Bench:
+    """Endpoints and clients of one run."""
+
+    def __init__(self, alarm: Alarm, rng: Random) -> None:
+        self.alarm, self._rng = alarm, rng
+        self.calls: dict[str, Asked] = {}
+        self._idle: dict[bool, list[_ClientSide]] = {True: [], False: []}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.opened = 0  # connections beyond those opened beforehand
+
+    async def open(self, direct: bool, port: int) -> None:
+        idle = self._idle[direct]
+        _, side = await asyncio.get_running_loop().create_connection(
+            lambda: _ClientSide(idle), "127.0.0.1", port
+        )
+        idle.append(side)
+
+    def ask(self, number: str, direct: bool, port: int) -> None:
+        asked = self.calls[number] = Asked(number, direct)
+        if idle := self._idle[direct]:
+            idle.pop().send(asked)
+            return
+        self.opened += 1
+        task = asyncio.get_running_loop().create_task(self._ask_late(asked, direct, port))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask_late(self, asked: Asked, direct: bool, port: int) -> None:
+        await self.open(direct, port)
+        self._idle[direct].pop().send(asked)
+
+    def load(self, direct: bool, rate: float, begin: float, end: float, port: Callable[[], int]) -> None:
+        """Calls at random moments, an open loop."""
+        way = "d" if direct else "s"
+
+        def arrive(number: int, when: float) -> None:
+            self.ask(f"{way}{number}", direct, port())
+            following = when + self._rng.expovariate(rate)
+            if following < end:
+                self.alarm.at(following, lambda: arrive(number + 1, following))
+
+        first = begin + self._rng.expovariate(rate)
+        self.alarm.at(first, lambda: arrive(1, first))
+
+
+class Way(msgspec.Struct, frozen=True):
+    """Of calls one way, in ms: there, back and both, at the median and at the 99th in a hundred."""
+
+    calls: int
+    there: tuple[float, float]
+    back: tuple[float, float]
+    both: tuple[float, float]
+
+
+class Stage(msgspec.Struct, frozen=True):
+    """From the stage before to this one, in ms; `processor` is the median of the sidecar's own."""
+
+    median: float
+    p99: float
+    processor: float
+
+
+def quiet_of(calls: list[Asked], stamps: Stamps) -> list[Asked]:
+    """Those in whose time, and since the call before, the sidecar was never kept from running."""
+    ends = sorted((one["replied"][0], one[QUEUED][0]) for one in stamps.values() if QUEUED in one)
+    found = []
+    for call in calls:
+        stamp = stamps.get(call.number, {})
+        before = bisect(ends, (stamp["read"][0], 0.0)) if QUEUED in stamp else 0
+        if before and stamp[QUEUED][0] - ends[before - 1][1] < QUIET_S:
+            found.append(call)
+    return found
+
+
+class Run(msgspec.Struct, frozen=True):
+    """One rate, one seed."""
+
+    rate: float
+    seed: int
+    stamped: bool
+    direct: Way
+    through: Way
+    unanswered: int
+    opened: int
+    idle_ms: float  # processor time a second without a call
+    processor_ms: float  # a second, at this rate
+    waited_ms: float  # a second, that the sidecar was ready to run and another process ran
+    load: float  # of the machine, as its own mean of a minute
+    stages: dict[str, Stage]  # of a stamped run
+    quiet: Way | None  # of a stamped run: calls that found the sidecar free to run all the while
+    added: list[float]  # each call's, in ms
+
+
+def _ways(calls: list[Asked]) -> Way:
+    there = [1000.0 * (one.came - one.sent) for one in calls]
+    back = [1000.0 * (one.back - one.left) for one in calls]
+    both = [1000.0 * one.added_s for one in calls]
+    return Way(len(calls), *(_middle_and_tail(times) for times in (there, back, both)))
+
+
+def _middle_and_tail(times: list[float]) -> tuple[float, float]:
+    middle, tail = numpy.percentile(times, (50.0, 99.0))
+    return float(middle), float(tail)
+
+
+def _scheduled(pid: int) -> tuple[float, float]:
+    """Processor time and time in the run queue of a process, in ms (proc(5): schedstat)."""
+    spent = waited = 0
+    for task in Path(f"/proc/{pid}/task").iterdir():
+        one = (task / "schedstat").read_text().split()
+        spent, waited = spent + int(one[0]), waited + int(one[1])
+    return spent / 1e6, waited / 1e6
+
+
+def stages_of(calls: list[Asked], stamps: Stamps) -> dict[str, Stage]:
+    """From each stage to the next, from the client's write on, the endpoint's own time left out."""
+    spans: dict[str, list[tuple[float, float]]] = {}
+
+    def add(name: str, ms: float, processor_ms: float) -> None:
+        spans.setdefault(name, []).append((1000.0 * ms, 1000.0 * processor_ms))
+
+    for call in calls:
+        found = stamps.get(call.number, {})
+        if any(stage not in found for stage in STAGES):
+            continue
+        add("read", found["read"][0] - call.sent, 0.0)
+        # The kernel may bring a write to its reader before the call that writes has returned: what follows
+        # it on the way is counted from its beginning, its processor time as if it were done first.
+        for before, stage in itertools.pairwise(STAGES[:5]):
+            add(stage, *(now - then for now, then in zip(found[stage], found[before], strict=True)))
+        add("at the endpoint", call.came - found["going"][0], found["written"][1] - found["going"][1])
+        add("heard", found["heard"][0] - call.left, 0.0)
+        for before, stage in itertools.pairwise(STAGES[6:9]):
+            add(stage, *(now - then for now, then in zip(found[stage], found[before], strict=True)))
+        add("at the client", call.back - found["replying"][0], found["replied"][1] - found["replying"][1])
+    return {
+        stage: Stage(
+            *_middle_and_tail([wall for wall, _ in both]), _middle_and_tail([one for _, one in both])[0]
+        )
+        for stage, both in spans.items()
+    }
+
+
+async def _run(rate: float, seed: int, stamped: bool, folder: Path) -> Run:
+    loop, rng, alarm = asyncio.get_running_loop(), Random(seed), Alarm()
+    bench = Bench(alarm, rng)
+    servers = [
+        await loop.create_server(lambda: _EndpointSide(bench), "127.0.0.1", 0) for _ in range(ENDPOINTS)
+    ]
+    ports = [server.sockets[0].getsockname()[1] for server in servers]
+    lines = [
+        {"instanceId": f"e{index}", "hostPort": f"127.0.0.1:{port}", "zone": "here", "lifecycle": "Ready"}
+        for index, port in enumerate(ports)
+    ]
+    known = {"generation": 1, "reset": True, "instances": lines}
+    discovery = await loop.create_server(lambda: _Discovery(msgspec.json.encode(known)), "127.0.0.1", 0)
+    command = ["python", "-m", "larkcrank.lab.scale.stamped"] if stamped else []
+    child = Child(0, folder, command, lambda *_: None)
+    try:
+        settings = merged(SETTINGS, {"n-instances": 28})
+        address = discovery.sockets[0].getsockname()
+        await child.start(
+            {
+                "name": "s0",
+                "seed": str(seed),
+                "discovery": f"127.0.0.1:{address[1]}",
+                "known": known,
+                "settings": settings,
+            }
+        )
+        assert child.place is not None and child.pid is not None
+        port = child.place[1]
+        for _ in range(CONNECTIONS):
+            await bench.open(False, port)
+            await bench.open(True, rng.choice(ports))
+        await asyncio.sleep(1.0)
+        before = _scheduled(child.pid)[0]
+        await asyncio.sleep(IDLE_S)
+        idle = (_scheduled(child.pid)[0] - before) / IDLE_S
+        gc.collect()
+        gc.disable()
+        last_s = max(LEAST_S, (LEAST_STAMPED if stamped else LEAST_CALLS) / rate)
+        begin = time.monotonic() + 0.1
+        end = begin + WARM_S + last_s
+        bench.load(False, rate, begin, end, lambda: port)
+        bench.load(True, rate, begin, end, lambda: rng.choice(ports))
+        await asyncio.sleep(begin + WARM_S - time.monotonic())
+        spent, waited = _scheduled(child.pid)
+        await asyncio.sleep(end - time.monotonic())
+        spent, waited = (now - then for now, then in zip(_scheduled(child.pid), (spent, waited), strict=True))
+        until = time.monotonic() + LATEST_S
+        while time.monotonic() < until and any(not one.back for one in bench.calls.values()):
+            await asyncio.sleep(0.05)
+        gc.enable()
+        load = os.getloadavg()[0]
+        await child.end()
+    finally:
+        gc.enable()
+        await child.close()
+        for server in (*servers, discovery):
+            server.close()
+        alarm.close()
+    timed = [one for one in bench.calls.values() if one.sent >= begin + WARM_S]
+    ways = {direct: [one for one in timed if one.direct is direct and one.back] for direct in (True, False)}
+    if not all(ways.values()):
+        raise PathError(f"no answers; the sidecar's last lines: {list(child.lines)}")
+    stamps = msgspec.json.decode((folder / FILE).read_bytes(), type=Stamps) if stamped else {}
+    quiet = quiet_of(ways[False], stamps)
+    return Run(
+        rate=rate,
+        seed=seed,
+        stamped=stamped,
+        direct=_ways(ways[True]),
+        through=_ways(ways[False]),
+        unanswered=sum(not one.back for one in timed),
+        opened=bench.opened,
+        idle_ms=idle,
+        processor_ms=spent / last_s,
+        waited_ms=waited / last_s,
+        load=load,
+        stages=stages_of(ways[False], stamps),
+        quiet=_ways(quiet) if quiet else None,
+        added=[1000.0 * one.added_s for one in ways[False]],
+    )
+
+
+def measure(rate: float, seed: int, stamped: bool = False) -> Run:
+    """Raises `PathError` or `ProcessError`."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner,
+    ):
+        return runner.run(_run(rate, seed, stamped, Path(folder)))
+
+
+def in_a_row(added: list[float], base: float, deep: int, rng: numpy.random.Generator) -> tuple[float, float]:
+    """Median and 99th in a hundred of what `deep` calls one after another are given, in ms.
+
+    `base` is what a call without a sidecar takes on the way; drawn independently from what was measured: a
+    busy moment that holds up all sidecars of a machine at once would make the tail longer.
+    """
+    drawn = rng.choice(numpy.asarray(added) - base, (DRAWS, deep)).sum(axis=1)
+    middle, tail = numpy.percentile(drawn, (50.0, 99.0))
+    return float(middle), float(tail)
+
+
+OWN = (resource.RUSAGE_SELF, resource.RUSAGE_CHILDREN)
+
+
+class Raw(msgspec.Struct, kw_only=True):
+    """What stands in docs/scale/runs/."""
+
+    command: str
+    date: str
+    commit: str  # of the text; `+` where files differed from it
+    took_s: float
+    machine: dict[str, Any]  # what others did meanwhile
+    runs: list[Run]  # without each call's figure
+    rows: dict[int, list[tuple[float, float]]]  # calls in a row: median and 99th in a hundred, of each seed
+
+
+def _added(index: int, one: Run) -> float:
+    return one.through.both[index] - one.direct.both[index]
+
+
+def _undisturbed(index: int, one: Run) -> float:
+    return one.quiet.both[index] - one.direct.both[index] if one.quiet is not None else math.nan
+
+
+def _there(index: int, one: Run) -> float:
+    return one.through.there[index]
+
+
+def _back(index: int, one: Run) -> float:
+    return one.through.back[index]
+
+
+def _direct(index: int, one: Run) -> float:
+    return one.direct.both[index]
+
+
+def _took(stage: str, one: Run) -> float:
+    return one.stages[stage].median
+
+
+def _spent(stage: str, one: Run) -> float:
+    return one.stages[stage].processor
+
+
+WAYS: dict[str, tuple[str, Callable[[int, Run], float]]] = {
+    "added": ("added to a call", _added),
+    "quiet": ("added to a call, undisturbed", _undisturbed),
+    "there": ("client to endpoint through the sidecar", _there),
+    "back": ("endpoint to client through the sidecar", _back),
+    "direct": ("both ways without a sidecar", _direct),
+}
+
+
+def series_of(runs: Sequence[Run], rows: dict[int, list[tuple[float, float]]], run: str) -> dict[str, Slope]:
+    """The slopes of all that was measured, by name."""
+    rates = sorted({one.rate for one in runs})
+
+    def points(stamped: bool, figure: Callable[[Run], float]) -> list[tuple[float, list[float]]]:
+        chosen = [one for one in runs if one.stamped is stamped]
+        found = [(rate, [figure(one) for one in chosen if one.rate == rate]) for rate in rates]
+        return [(rate, each) for rate, each in found if all(map(math.isfinite, each))]
+
+    found: dict[str, Slope] = {}
+
+    def add(
+        name: str, title: str, points: list[tuple[float, list[float]]], unit: str, by: str, note: str = ""
+    ) -> None:
+        cost = "processor time" if name.endswith(("processor", "-cpu")) else "time"
+        words = {"title": title, "cost": cost, "unit": unit, "by": by, "run": run, "note": note}
+        try:
+            found[f"path-{name}"] = made(points, role="path", how="real", command=COMMAND, **words)
+        except FitError as error:
+            click.echo(f"{name}: no slope: {error}", err=True)
+
+    rate, share, ms = "calls a second", "% of a core", "ms"
+    queued = "of it the sidecar was ready to run and another process ran; the machine's, not the program's"
+    added = "a call's way through the sidecar less the same without it, in the same run"
+    add(
+        "processor",
+        "a sidecar's processor time",
+        points(False, lambda one: one.processor_ms / 10),
+        share,
+        rate,
+    )
+    add(
+        "queued",
+        "a sidecar kept from running",
+        points(False, lambda one: one.waited_ms / 10),
+        share,
+        rate,
+        queued,
+    )
+    quiet = "calls of the stamped runs in whose time the sidecar was never kept from running"
+    for index, which in enumerate(("median", "p99")):
+        for name, (title, way) in WAYS.items():
+            note = {"added": added, "quiet": quiet}.get(name, "")
+            figures = points(name == "quiet", partial(way, index))
+            add(f"{name}-{which}", f"{title}, {which}", figures, ms, rate, note)
+        independent = f"drawn independently from what {ROW_RATE} calls a second were added"
+        row = [(float(deep), [one[index] for one in each]) for deep, each in rows.items()]
+        add(f"row-{which}", f"added to calls in a row, {which}", row, ms, "calls in a row", independent)
+    for stage, words in STAGE_WORDS.items():
+        slug = stage.replace(" ", "-")
+        add(f"stage-{slug}", f"{words}, median", points(True, partial(_took, stage)), ms, rate)
+        own = points(True, partial(_spent, stage))
+        add(f"stage-{slug}-cpu", f"{words}, the sidecar's processor time, median", own, ms, rate)
+    return found
+
+
+@click.command()
+@click.option("--rate", "rates", multiple=True, type=click.IntRange(1, 2000), default=RATES)
+@click.option("--seed", "seeds", multiple=True, type=int, default=SEEDS, help="Repeats.")
+@click.option("--out", type=click.Path(path_type=Path), default=Path("docs/scale"), show_default=True)
+@click.option("--fit", "fit_only", is_flag=True, help="Fit anew what stands in OUT; measure nothing.")
+def path(rates: tuple[int, ...], seeds: tuple[int, ...], out: Path, fit_only: bool) -> None:
+    """What one sidecar adds to a call, in whole and by stage, by calls a second. Exit code 3: cut short."""
+    if fit_only:
+        _write(msgspec.json.decode((out / "runs" / "path.json").read_bytes(), type=Raw), out)
+        return
+    began, load = time.monotonic(), machine.Load()
+    runs = []
+    try:
+        for stamped in (False, True):
+            for seed in seeds:  # each seed's rates one after another, so that a busy spell befalls them all
+                for rate in rates:
+                    runs.append(one := measure(rate, seed, stamped))
+                    said = f"added {one.through.both[0] - one.direct.both[0]:.2f} ms at the median"
+                    click.echo(f"{rate} a second, seed {seed}{', stamped' * stamped}: {said}", err=True)
+    except (PathError, ProcessError, OSError) as error:
+        click.echo(str(error), err=True)
+        raise SystemExit(3) from None
+    rows: dict[int, list[tuple[float, float]]] = {deep: [] for deep in ROWS}
+    for one in runs:
+        if not one.stamped and one.rate == ROW_RATE:
+            rng = numpy.random.default_rng(one.seed)
+            for deep in ROWS:
+                rows[deep].append(in_a_row(one.added, one.direct.both[0], deep, rng))
+    where = out / "runs" / "path.json"
+    raw = Raw(
+        command=COMMAND,
+        date=datetime.now(UTC).isoformat(timespec="seconds"),
+        commit=machine.text_commit(),
+        took_s=round(time.monotonic() - began, 1),
+        machine=load.seen(sum(sum(resource.getrusage(who)[:2]) for who in OWN)),
+        runs=[msgspec.structs.replace(one, added=[]) for one in runs],
+        rows=rows,
+    )
+    slopes.write_json(where, raw)
+    _write(raw, out)
+
+
+def _write(raw: Raw, out: Path) -> None:
+    for name, slope in series_of(raw.runs, raw.rows, str(slopes.RUNS / "path.json")).items():
+        slopes.write(name, slope, out / "slopes")
+        click.echo(
+            f"{name}: {slope.slope:.4g} ({slope.low:.4g} to {slope.high:.4g}), at none {slope.intercept:.4g}"
+        )
