--- a/larkcrank/lab/scale/hollow.py
+++ b/larkcrank/lab/scale/hollow.py
@@ -36,7 +36,7 @@
 from larkcrank.program.together import Together
 from larkcrank.protocol import http1
 from larkcrank.protocol.discovery import Listing, Names
-from larkcrank.routing.discovery import Discovery
+from larkcrank.routing.discovery import Call, Discovery
 from larkcrank.routing.driver import Driver
 from larkcrank.routing.servers import Servers
 from larkcrank.transport.budget import Budget
@@ -176,8 +176,8 @@
 
     bytes_in = bytes_out = 0
 
-    async def _ask(self, line: Any, wait_ms: int | None) -> Exception | None:
-        return await super()._ask(_CountedLine(line, self._add), wait_ms)  # type: ignore[arg-type]
+    async def _ask(self, line: Any, call: Call) -> Exception | None:
+        return await super()._ask(_CountedLine(line, self._add), call)  # type: ignore[arg-type]
 
     def _add(self, came: int, went: int) -> None:
         self.bytes_in += came
