--- a/larkcrank/__main__.py
+++ b/larkcrank/__main__.py
@@ -1,10 +1,14 @@
-"""`python -m larkcrank`: one sidecar, configured by PROXY_CONFIG; with words, the command line."""
+"""`python -m larkcrank`: one sidecar, configured by PROXY_CONFIG; with words, the command line, or a tier."""
 
 import signal
 import sys
 
 
 def main() -> int:
+    if sys.argv[1:2] == ["tier"]:
+        from larkcrank.tiers.program import main as tier
+
+        return tier(sys.argv[2:])
     if len(sys.argv) > 1:  # the command line's libraries are no burden on a sidecar's start
         from larkcrank.command.main import main as command
 
--- /dev/null
+++ b/larkcrank/tiers/__init__.py
@@ -0,0 +1,1 @@
+"""Tiers: processes between discovery and the sidecars that hold the list once and give each its part."""
--- /dev/null
+++ b/larkcrank/tiers/feeds.py
@@ -0,0 +1,150 @@
+"""What a tier hears: its discoveries, tiers below by their `own` doors, and one of the tiers above."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import TypeAlias
+
+from larkcrank.protocol.discovery import LIST_TARGET, watch_target
+from larkcrank.routing.places import Places
+from larkcrank.tiers import wire
+from larkcrank.tiers.asking import Asker, AskError
+from larkcrank.tiers.config import Settings
+from larkcrank.tiers.state import COUNTER_BITS
+
+Place = tuple[str, int]
+Answer: TypeAlias = wire.FromDiscovery | wire.FromTier
+
+
+class Feed:
+    """Asks one service, at one of its places at a time, and hands each answer on.
+
+    A call that fails changes nothing of what is held; after it the next place is asked, or the same again.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        places: Sequence[Place],
+        read: Callable[[bytes], Answer],
+        take: Callable[["Feed", Answer], None],
+        lines: Callable[["Feed"], Sequence[bytes]],
+        settings: Settings,
+        rng: Random,
+        event: Callable[..., None],
+    ) -> None:
+        """`read` raises `AnswerError`, as `take` does for an answer that must not be taken in; `lines`:
+        header lines of a call."""
+        self.name = name
+        self._read, self._take, self._lines, self._event = read, take, lines, event
+        self._settings = settings
+        self.places = Places(
+            places,
+            rng,
+            settings.spread_ms / 1000.0,
+            (settings.back_min_ms / 1000.0, settings.back_max_ms / 1000.0),
+            settings.again_max_ms / 1000.0,
+        )
+        self._askers = {
+            place: Asker(place, settings.connect_ms / 1000.0, settings.answer_bytes) for place in places
+        }
+        self._after: dict[Place, int] = {}  # each place counts by itself
+        self._only = len(places) == 1
+        self._trouble: dict[Place, str] = {}
+        self._probe: asyncio.Task[None] | None = None
+        self._last: Place | None = None  # that answered
+        self.is_tier: bool | None = None  # None: it has not answered yet
+        self.heard_at: float | None = None  # when it last told everything it had
+        self.excused = False  # not waited for at the start
+        self.may_be_empty = False  # a whole answer without a living line is believed
+        self.calls = self.failures = self.wholes = 0
+
+    def heard(self) -> None:
+        self.heard_at = asyncio.get_running_loop().time()
+
+    @property
+    def place(self) -> str:
+        return "{}:{}".format(*self.places.current)
+
+    @property
+    def generation(self) -> int | None:
+        """Of the current place, as last told."""
+        return self._after.get(self.places.current)
+
+    @property
+    def trouble(self) -> str:
+        """Why the last call at the current place failed; empty: it did not."""
+        return self._trouble.get(self.places.current, "")
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            while True:
+                if self._probe is None and self.places.look_home(loop.time()):
+                    self._probe = loop.create_task(self._look_home())
+                place = self.places.current
+                good = await self._ask(place)
+                if place != self.places.current:
+                    continue  # back at home meanwhile
+                if good:
+                    self.places.answered()
+                    if self._last not in (None, place):
+                        self._event("tier_moved", feed=self.name, place="{}:{}".format(*place))
+                    self._last = place
+                else:
+                    await asyncio.sleep(self.places.failed(loop.time()))
+        finally:
+            if self._probe is not None:
+                self._probe.cancel()
+            for asker in self._askers.values():
+                asker.close()
+
+    async def _look_home(self) -> None:
+        """Ask at home beside the watch at the current place, which goes on until home has answered."""
+        loop = asyncio.get_running_loop()
+        good = await self._ask(self.places.home, wait_ms=1)
+        self.places.looked(loop.time(), good)  # what the watch elsewhere still tells is taken in as well
+        self._probe = None
+
+    async def _ask(self, place: Place, wait_ms: int | None = None) -> bool:
+        after, settings = self._after.get(place), self._settings
+        target, timeout_ms = LIST_TARGET, settings.whole_ms
+        if after is not None:
+            wait_ms = wait_ms or settings.wait_ms
+            target, timeout_ms = watch_target(after, wait_ms), wait_ms + settings.slack_ms
+        self.calls += 1
+        self.wholes += after is None
+        try:
+            body = await self._askers[place].ask(target, timeout_ms / 1000.0, self._lines(self))
+            answer = self._read(body)
+            self._check(answer, after)
+            self._take(self, answer)
+        except (AskError, wire.AnswerError) as error:
+            self.failures += 1
+            # Who is asked for changes may be unable to tell them: a tier is asked for the whole next.
+            if isinstance(error, wire.AnswerError) or (error.refused and self.is_tier):
+                self._after.pop(place, None)
+            self._failed(place, str(error))
+            return False
+        self._after[place] = answer.generation
+        if self._trouble.pop(place, None) is not None:
+            self._event("tier_call_good", feed=self.name, place="{}:{}".format(*place))
+        return not (isinstance(answer, wire.FromTier) and answer.provisional) or self._only
+
+    def _check(self, answer: Answer, after: int | None) -> None:
+        is_tier = isinstance(answer, wire.FromTier)
+        if self.is_tier is None:
+            self.is_tier = is_tier
+        elif self.is_tier is not is_tier:
+            raise wire.AnswerError("foreign: " + ("a tier's" if is_tier else "no tier's") + " answer")
+        if after is None:
+            answer.whole = True
+        elif not answer.whole:
+            shift = COUNTER_BITS if is_tier else 63
+            if answer.generation < after or answer.generation >> shift != after >> shift:
+                raise wire.AnswerError(f"foreign: generation {answer.generation} after {after}")
+
+    def _failed(self, place: Place, reason: str) -> None:
+        if self._trouble.get(place) != reason:
+            self._trouble[place] = reason
+            self._event("tier_call_failed", feed=self.name, place="{}:{}".format(*place), reason=reason)
