--- a/larkcrank/tiers/program.py
+++ b/larkcrank/tiers/program.py
@@ -295,7 +295,7 @@
                 self._turn(receiver)
             return
         receiver.count = count
-        if not state.can_tell_since(count):
+        if not state.can_tell_since(count, not door.is_plain):
             self._turn(receiver)
         elif door.changed > count and door.gather.due is None:
             self._answer_since(receiver)
--- a/larkcrank/tiers/state.py
+++ b/larkcrank/tiers/state.py
@@ -92,6 +92,7 @@
         self._gone: dict[str, float] = {}  # tombstones, the oldest first
         self._left: dict[tuple[str, str], float] = {}  # lines that went to another service, the oldest first
         self._pruned = 0  # the last generation of which a tombstone was given up
+        self._whole_at = 0  # the last generation that came of a whole answer which told something new
         self.living = 0
 
     # Generations.
@@ -107,9 +108,13 @@
             return None
         return count
 
-    def can_tell_since(self, count: int) -> bool:
-        """Whether no tombstone of a later change was given up."""
-        return count >= self._pruned
+    def can_tell_since(self, count: int, tier: bool) -> bool:
+        """Whether a receiver, or a tier, that holds everything up to this count can be told the rest alone.
+
+        Not where a tombstone of a later change was given up; for a tier also not where this one has learnt
+        from a whole answer since: what that left out is gone, but stands nowhere.
+        """
+        return count >= self._pruned and not (tier and count < self._whole_at)
 
     def renew(self, identity: int) -> None:
         """Go on under another identity: nobody's generation holds any more, each receiver gets a whole."""
@@ -120,7 +125,7 @@
     def _step(self) -> int:
         if self.count + 1 >= 1 << COUNTER_BITS:
             self.renew(self.identity + 1)
-            self.count = self._pruned = 0
+            self.count = self._pruned = self._whole_at = 0
             for line in self._lines.values():
                 line.changed = line.altered = 0
             for part in self._parts.values():
@@ -163,6 +168,9 @@
         for owner, upto in known.items():
             if owner != self.name and upto > self.known.get(owner, NEVER):
                 self.known[owner] = upto
+                if whole:
+                    count = count or self._step()
+                    self._whole_at = count
         self._prune(now_ms)
         return changes
 
--- a/tests/test_tiers_program.py
+++ b/tests/test_tiers_program.py
@@ -1,9 +1,7 @@
 """Tiers on loopback: one way down, what is served when, and what a bad answer does."""
 
-import asyncio
-import json
 
-from tests.bed import run, until
+from tests.bed import run
 from tests.tiers_bed import Discovery, Receiver, Running, line, running, until_told, whole
 
 
