Tiers: who holds which generation, summed up; operators' calls; cases on loopback

HELD, STATE, PING; summaries go up with each call in the generations of the tier above and age out after held_ms. A discovery is asked for the whole after any failed call: it may count anew and come to the same generation with another list (found by the test that restarts it).

--- a/larkcrank/tiers/asking.py
+++ b/larkcrank/tiers/asking.py
@@ -22,13 +22,18 @@
         self._place, self._connect_s, self._most = place, connect_s, most
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
-    async def ask(self, target: bytes, timeout_s: float, lines: Iterable[bytes] = ()) -> bytes:
-        """The body of an answer 200. Raises `AskError`."""
+    async def ask(
+        self, target: bytes, timeout_s: float, lines: Iterable[bytes] = (), again: bool = True
+    ) -> bytes:
+        """The body of an answer 200. Raises `AskError`.
+
+        `again`: a call that crosses the end of a kept connection is made once more, on a new one.
+        """
         host = b"Host: %s:%d" % (self._place[0].encode(), self._place[1])
         request = http1.request_bytes(b"GET", target, (host, *lines))
         try:
             async with asyncio.timeout(timeout_s):
-                response = await self._call(request)
+                response = await self._call(request, again)
         except TimeoutError:
             self.close()
             raise AskError("silent") from None
@@ -48,11 +53,13 @@
             raise AskError(f"answered {response.status}", refused=True)
         return response.body
 
-    async def _call(self, request: bytes) -> http1.Response:
+    async def _call(self, request: bytes, again: bool) -> http1.Response:
         if self._streams is not None:
             try:
                 return await self._exchange(request, kept=True)
-            except (_EndedError, ConnectionError):
+            except (_EndedError, ConnectionError) as error:
+                if not again:
+                    raise OSError(str(error) or "ended") from None
                 self.close()  # the call crossed the end of a kept connection: once more on a new one
         try:
             async with asyncio.timeout(self._connect_s):
--- a/larkcrank/tiers/feeds.py
+++ b/larkcrank/tiers/feeds.py
@@ -27,8 +27,8 @@
         name: str,
         places: Sequence[Place],
         read: Callable[[bytes], Answer],
-        take: Callable[["Feed", Answer], None],
-        lines: Callable[["Feed"], Sequence[bytes]],
+        take: Callable[["Feed", Place, Answer], None],
+        lines: Callable[["Feed", Place], Sequence[bytes]],
         settings: Settings,
         rng: Random,
         event: Callable[..., None],
@@ -115,14 +115,16 @@
         self.calls += 1
         self.wholes += after is None
         try:
-            body = await self._askers[place].ask(target, timeout_ms / 1000.0, self._lines(self))
+            lines = self._lines(self, place)
+            body = await self._askers[place].ask(target, timeout_ms / 1000.0, lines, bool(self.is_tier))
             answer = self._read(body)
             self._check(answer, after)
-            self._take(self, answer)
+            self._take(self, place, answer)
         except (AskError, wire.AnswerError) as error:
             self.failures += 1
-            # Who is asked for changes may be unable to tell them: a tier is asked for the whole next.
-            if isinstance(error, wire.AnswerError) or (error.refused and self.is_tier):
+            # The whole is asked for next where changes may be unable to be told, and of a discovery after any
+            # failure: it may count anew, and come to the same generation with another list.
+            if isinstance(error, wire.AnswerError) or error.refused or not self.is_tier:
                 self._after.pop(place, None)
             self._failed(place, str(error))
             return False
--- a/larkcrank/tiers/program.py
+++ b/larkcrank/tiers/program.py
@@ -16,8 +16,8 @@
 
 from larkcrank.program.log import Log
 from larkcrank.protocol import http1
-from larkcrank.tiers import wire
-from larkcrank.tiers.config import Config, ConfigError, SourceConfig, load
+from larkcrank.tiers import held, wire
+from larkcrank.tiers.config import Config, ConfigError, Place, SourceConfig, load
 from larkcrank.tiers.feeds import Answer, Feed
 from larkcrank.tiers.gather import Turns
 from larkcrank.tiers.receivers import SLICE, Door, Kind, Receiver
@@ -27,6 +27,8 @@
 SPARE_DESCRIPTORS = 64  # of the process's limit: for calls, listeners, files
 LOOK_S = 0.25  # between looks at what is late
 ABOVE = "above"
+HELD = b"Held"
+LOGGED_LATE = 5
 OPS_LINE = 128
 OPS_SILENT_S = 2.0
 OPS_MOST = 16
@@ -76,13 +78,17 @@
             self.above = self._feed(ABOVE, config.above, read)
         self._tasks: list[asyncio.Task[None]] = []
         self._servers: list[asyncio.Server] = []
-        self._ops_place: tuple[str, int] | None = None
+        self.ops_place: tuple[str, int] | None = None
         self._operators: set[Operator] = set()
         self._began = self._loop.time()
         self._identity_told = self.state.identity
+        held_s = settings.held_ms / 1000.0
+        self._steps, self._marks, self._below = held.Steps(), held.Marks(), held.Below(held_s)
+        self._steps_of: Place | None = None  # the place above whose generations these are
+        self._watch = held.Watch(held_s)
         self.own_complete = self.complete = False  # heard from all sources; and from above
         self._was_fresh = False
-        self.refused = self.wholes = self.answers = self.turned_away = self.cut = 0
+        self.refused = self.wholes = self.answers = self.turned_away = self.cut = self.foreign = 0
 
     def _feed(self, name: str, places: Sequence[tuple[str, int]], read: Any) -> Feed:
         return Feed(
@@ -115,11 +121,11 @@
             await self._listen(door, told.listen)
         if config.ops is not None:
             sock = _bound(config.ops)
-            self._ops_place = sock.getsockname()[:2]
+            self.ops_place = sock.getsockname()[:2]
             self._servers.append(
                 await self._loop.create_server(lambda: Operator(self), sock=sock, backlog=OPS_MOST)
             )
-        more = {} if self._ops_place is None else {"ops": _text(self._ops_place)}
+        more = {} if self.ops_place is None else {"ops": _text(self.ops_place)}
         if self.own is not None:
             more["own"] = _text(self.own.place)
         self.log.event(
@@ -165,10 +171,16 @@
 
     # What is heard.
 
-    def _lines(self, feed: Feed) -> Sequence[bytes]:
-        return ()
+    def _lines(self, feed: Feed, place: Place) -> Sequence[bytes]:
+        """What goes up with a call: who holds what below."""
+        if feed is not self.above:
+            return ()
+        told = held.Summary(self.config.name, [], [])
+        if place == self._steps_of:
+            told = held.summary(self.config.name, self.standing(), self._steps)
+        return (HELD + b": " + held.encode(told),)
 
-    def _take(self, feed: Feed, answer: Answer) -> None:
+    def _take(self, feed: Feed, place: Place, answer: Answer) -> None:
         """Raises `AnswerError` before anything is changed."""
         state, now_ms = self.state, time.time() * 1000.0
         empty = answer.whole and not any(not line.gone for line in answer.lines)
@@ -192,6 +204,11 @@
             if not answer.provisional:
                 feed.heard()
         self._changed(changes)
+        if feed is self.above and place == feed.places.current:
+            if place != self._steps_of:
+                self._steps.clear()
+                self._steps_of = place
+            self._steps.heard(state.count, answer.generation)
         if not self.complete or not state.knows_mine:
             self._progress()
 
@@ -231,9 +248,15 @@
         now, count = self._loop.time(), self.state.count
         if self.state.identity != self._identity_told:  # the count has run over: it begins anew
             self._renewed()
+            self._marks.clear()
+            self._watch.clear()
+            self._steps.clear()
             for door in self.doors:
                 for receiver in list(door.waiting):
                     self._turn(receiver)
+        self._marks.changed(count, now)
+        if not self.config.above:
+            self._watch.changed(count, now)
         concerned = {self.listen: None}
         if self.own is not None and not changes.owners.isdisjoint(self.state.subtree):
             concerned[self.own] = None
@@ -286,6 +309,8 @@
 
     def called(self, receiver: Receiver, after: int | None, wait_ms: int, fields: http1.Fields) -> None:
         door, state, now = receiver.door, self.state, self._loop.time()
+        if not door.is_plain:
+            self._summary(receiver, fields)
         count = None if after is None else state.count_of(after)
         if count is None:
             receiver.count = -1
@@ -351,6 +376,73 @@
         door.waiting.discard(receiver)
         receiver.answer(door.since(receiver.count, not self._complete(door)))
 
+    # What is held.
+
+    def _summary(self, receiver: Receiver, fields: http1.Fields) -> None:
+        text = fields.all(HELD.lower())
+        found = held.decode(text[0]) if text else None
+        if found is not None:
+            receiver.is_tier = True
+            self._below.told(found, self._loop.time())
+        elif text:
+            self.foreign += 1
+
+    def standing(self) -> held.Standing:
+        """What the sidecars at the doors and below hold, by the own count."""
+        standing, state, now = held.Standing(), self.state, self._loop.time()
+        for door in (self.listen, *self.doors):
+            for receiver in door.receivers:
+                if receiver.is_tier or not receiver.has_called:
+                    continue
+                count = door.holds(receiver.count)
+                standing.add(count)
+                if count < state.count:
+                    since = receiver.quiet_since if count < 0 else self._marks.after(count)
+                    late_s = round(now - (now if since is None else since), 3)
+                    generation = 0 if count < 0 else state.generation - state.count + count
+                    late = held.Late(self.config.name, door.name, receiver.peer, generation, late_s)
+                    standing.late.append((count, late))
+        for summary in self._below.now(now):
+            for generation, number in summary.held:
+                count_below = state.count_of(generation)
+                standing.add(-1 if count_below is None else count_below, number)
+            for late in summary.late:
+                count_below = state.count_of(late.generation)
+                standing.late.append((-1 if count_below is None else count_below, late))
+        return standing
+
+    def held(self, generation: int | None) -> tuple[bool, str]:
+        """Who holds this generation of this tier, or its latest."""
+        state = self.state
+        count = state.count if generation is None else state.count_of(generation)
+        if count is None:
+            return False, "no generation of this tier, or of an earlier life of it"
+        standing = self.standing()
+        holding = standing.holding(count)
+        told = {
+            "generation": state.generation - state.count + count,
+            "held": holding,
+            "not_held": standing.total - holding,
+            "late": [msgspec.structs.asdict(one) for _, one in standing.latest(count=count)],
+            "silent": {tier: round(s, 3) for tier, s in self._below.silent(self._loop.time()).items()},
+        }
+        return True, msgspec.json.encode(told).decode()
+
+    def _say_held(self, now: float) -> None:
+        standing = self.standing()
+        said = self._watch.look(standing.least, now)
+        if said is None:
+            return
+        what, count, took_s = said
+        more: dict[str, Any] = {}
+        if what == "lagging":
+            more["not_held"] = standing.total - standing.holding(count)
+            more["late"] = [msgspec.structs.asdict(one) for _, one in standing.latest(LOGGED_LATE, count)]
+        generation = self.state.generation - self.state.count + count
+        self.log.event(
+            f"tier_{what}", generation=generation, sidecars=standing.total, after_s=round(took_s, 3), **more
+        )
+
     # What is late.
 
     async def _look(self) -> None:
@@ -373,6 +465,8 @@
             if now - self._began > self._settings.patience_ms / 1000.0:
                 self._excuse()
             self._progress()
+        if self._watch.is_open:
+            self._say_held(now)
         fresh = self.is_fresh(self.listen)
         if fresh is not self._was_fresh:
             self._was_fresh = fresh
@@ -404,6 +498,8 @@
         if word == "PING" and not rest:
             fresh = self.is_fresh(self.listen)
             return fresh, "fresh" if fresh else "stale" if self.complete else "starting"
+        if word == "HELD" and (not rest or (rest.isascii() and rest.isdigit() and len(rest) < 20)):
+            return self.held(int(rest) if rest else None)
         if word == "STATE" and not rest:
             return True, msgspec.json.encode(self.picture()).decode()
         return False, "unknown call; known are PING, HELD [generation], STATE"
@@ -447,6 +543,7 @@
             "refused": self.refused,
             "turned_away": self.turned_away,
             "cut": self.cut,
+            "bad_summaries": self.foreign,
         }
 
     def operator_opened(self, operator: "Operator") -> bool:
--- a/larkcrank/tiers/receivers.py
+++ b/larkcrank/tiers/receivers.py
@@ -49,11 +49,26 @@
     def whole(self, provisional: bool) -> bytes:
         return self._shared(-1, provisional)
 
+    @property
+    def owners(self) -> Collection[str] | None:
+        return self._state.subtree if self.kind is Kind.OWN else None
+
+    def holds(self, count: int) -> int:
+        """Up to which count one holds all that is told here who was last told at `count`."""
+        if count < 0 or count >= self.changed:
+            return self._state.count if count >= 0 else -1
+        state = self._state
+        if self.is_plain:
+            lacks = [line.altered for line in state.part_since(self.services, count)]
+        else:
+            lacks = [line.changed for line in state.all_since(count, self.owners)]
+        return min(lacks, default=state.count + 1) - 1
+
     @property
     def is_empty(self) -> bool:
         if self.is_plain:
             return not self._state.part(self.services)
-        owners = self._state.subtree if self.kind is Kind.OWN else None
+        owners = self.owners
         return not any(
             not line.gone and (owners is None or line.owner in owners) for line in self._state.lines()
         )
@@ -75,7 +90,7 @@
             lines = state.part(self.services) if whole else state.part_since(self.services, count)
             body = wire.plain(lines, state.generation, whole)
         else:
-            owners = state.subtree if self.kind is Kind.OWN else None
+            owners = self.owners
             lines = state.all_since(count, owners)
             body = wire.full(lines, state.generation, whole, state.known_of(owners), provisional)
         return http1.response_bytes(200, _JSON, body)
@@ -93,7 +108,7 @@
 
 
 class Receiver(asyncio.Protocol):
-    """One connection. Where `after` and `since` were told last is what its end is known to hold."""
+    """One connection, with what its other end is known to hold."""
 
     __slots__ = (
         "_loop",
@@ -102,8 +117,8 @@
         "asks",
         "count",
         "door",
-        "held",
-        "missing_since",
+        "has_called",
+        "is_tier",
         "quiet_since",
         "timer",
         "transport",
@@ -113,10 +128,9 @@
         self._server, self.door, self._loop = server, door, loop
         self._parser: http1.RequestParser | None = None
         self.transport: asyncio.Transport | None = None
-        self.asks = False  # a call is under way
+        self.asks = self.has_called = False  # a call is under way; there was one
         self.count = -1  # of generations: everything up to it is held at the other end; -1: not known
-        self.missing_since: float | None = None  # when something that it does not hold was there to tell
-        self.held: object = None  # a tier's summary of those below
+        self.is_tier = False  # it sums up sidecars, and is none
         self.quiet_since = loop.time()  # the last call or answer
         self.timer: asyncio.TimerHandle | None = None
 
@@ -162,7 +176,7 @@
         elif call is None:
             self.refuse(404)
         else:
-            self.asks = True
+            self.asks = self.has_called = True
             self.quiet_since = self._loop.time()
             self._server.called(self, *call, request.fields)
 
--- a/tests/test_tiers_state.py
+++ b/tests/test_tiers_state.py
@@ -110,8 +110,8 @@
             ("z2", Copy(("a", "b"))),
             ("r1", Copy(("b",))),
         ]
-        for region in self.truth:
-            self.hear(region)
+        for name in self.truth:
+            self.hear(name)
 
     def fresh(self, name: str) -> State:
         self.now += 1
@@ -187,13 +187,13 @@
             self.seen_gone[name] |= {id for id in self.retired if id not in living and _knows(tier, id)}
 
     def settle(self) -> None:
-        for region in self.truth:
-            self.hear(region)
+        for name in self.truth:
+            self.hear(name)
         for _ in range(6):
             self.spread()
-        truth = {}
-        for region in self.truth.values():
-            truth |= {one.id: (one.service, one.body) for one in region.values()}
+        truth: dict[str, tuple[str, bytes]] = {}
+        for lines in self.truth.values():
+            truth |= {one.id: (one.service, one.body) for one in lines.values()}
         for name, tier in self.tiers.items():
             assert alive(tier) == truth, name
             assert tier.living == len(truth)
--- a/tests/tiers_bed.py
+++ b/tests/tiers_bed.py
@@ -67,11 +67,12 @@
                 while (request := parser.next()) is not None:
                     target = request.target.decode()
                     self.calls.append(target)
-                    body = self.spoil(await self._answer(target))
+                    told = await self._answer(target)
+                    body = self.spoil(told)
                     if body is not None:
                         writer.write(http1.response_bytes(self.status, (), body))
-        except ConnectionError:
-            pass
+        except (ConnectionError, asyncio.CancelledError):
+            pass  # the loop may end while a watch waits
         finally:
             writer.close()
 
@@ -91,6 +92,61 @@
         return json.dumps({"generation": len(self._log), "reset": whole, "instances": lines}).encode()
 
 
+class Link:
+    """Passes bytes between whoever connects and one place; while it is cut they stay where they are."""
+
+    def __init__(self, place: str) -> None:
+        self.to = place
+        self.place = ""
+        self._open = asyncio.Event()
+        self._open.set()
+        self._server: asyncio.Server | None = None
+        self._writers: list[asyncio.StreamWriter] = []
+        self.taken = 0
+
+    async def start(self) -> "Link":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.place = "{}:{}".format(*self._server.sockets[0].getsockname())
+        return self
+
+    def cut(self) -> None:
+        self._open.clear()
+
+    def heal(self) -> None:
+        """What stood in cut connections is lost with them."""
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+        self._open.set()
+
+    def stop(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        self.heal()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.append(writer)
+        self.taken += 1
+        await self._open.wait()
+        host, _, port = self.to.rpartition(":")
+        try:
+            there = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers.append(there[1])
+        await asyncio.gather(self._pass(reader, there[1]), self._pass(there[0], writer))
+
+    async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(65536):
+                await self._open.wait()
+                writer.write(data)
+        except ConnectionError:
+            pass
+        writer.close()
+
+
 class Running:
     """A tier that runs in this loop, with the lines of its log."""
 
@@ -205,6 +261,17 @@
             self._streams = None
 
 
+async def operator(tier: Running, line: str) -> tuple[int, Any]:
+    """The code and the text, or what it is in JSON."""
+    place = tier.it.ops_place
+    assert place is not None
+    reader, writer = await asyncio.open_connection(*place)
+    writer.write(line.encode() + b"\n")
+    code, _, text = (await reader.read()).decode().strip().partition(" ")
+    writer.close()
+    return int(code), json.loads(text) if text.startswith("{") else text
+
+
 async def whole(receiver: Receiver) -> None:
     """Ask until there is a list."""
     while await receiver.ask() != 200:
