--- a/larkcrank/tiers/program.py
+++ b/larkcrank/tiers/program.py
@@ -16,7 +16,7 @@
 
 from larkcrank.program.log import Log
 from larkcrank.protocol import http1
-from larkcrank.tiers import held, wire
+from larkcrank.tiers import held, snapshot, wire
 from larkcrank.tiers.config import Config, ConfigError, Place, SourceConfig, load
 from larkcrank.tiers.feeds import Answer, Feed
 from larkcrank.tiers.gather import Turns
@@ -88,6 +88,8 @@
         self._watch = held.Watch(held_s)
         self.own_complete = self.complete = False  # heard from all sources; and from above
         self._was_fresh = False
+        self._saved = 0  # the count of the last snapshot
+        self._take_up()
         self.refused = self.wholes = self.answers = self.turned_away = self.cut = self.foreign = 0
 
     def _feed(self, name: str, places: Sequence[tuple[str, int]], read: Any) -> Feed:
@@ -109,6 +111,43 @@
         feed.may_be_empty = one.may_be_empty
         return feed
 
+    # The snapshot.
+
+    def _take_up(self) -> None:
+        """Begin with what an earlier process held. A file that can't be used is logged."""
+        path, now_ms = self.config.snapshot, time.time() * 1000.0
+        if path is None:
+            return
+        try:
+            kept = snapshot.read(path, self.config.name, now_ms, self._settings.snapshot_age_ms)
+        except snapshot.SnapshotError as error:
+            self.log.event("tier_snapshot_unusable", why=error.why, message=str(error))
+            return
+        self.state.restore(kept.lines, kept.known, now_ms)
+        for door in (self.listen, *([self.own] if self.own is not None else []), *self.doors):
+            door.changed = self.state.count
+        self.log.event("tier_snapshot_taken", lines=self.state.living, age_s=round(kept.age_ms / 1000.0, 1))
+
+    async def _save(self) -> None:
+        """Keep the snapshot current. While not all has been heard the older one is the better one."""
+        path = self.config.snapshot
+        while path is not None:
+            await asyncio.sleep(self._settings.snapshot_ms / 1000.0)
+            if self.complete and self.state.count != self._saved:
+                count, data = self.state.count, snapshot.encode(self.state, time.time() * 1000.0)
+                try:
+                    await asyncio.to_thread(snapshot.write, path, data)
+                    self._saved = count
+                except OSError as error:
+                    self.log.event("tier_snapshot_not_written", message=error.strerror or str(error))
+
+    def _save_last(self) -> None:
+        if self.config.snapshot is not None and self.complete:
+            try:
+                snapshot.write(self.config.snapshot, snapshot.encode(self.state, time.time() * 1000.0))
+            except OSError as error:
+                self.log.event("tier_snapshot_not_written", message=error.strerror or str(error))
+
     # Start and end.
 
     async def start(self) -> None:
@@ -137,7 +176,7 @@
         )
         feeds = [*self.sources, *([self.above] if self.above is not None else [])]
         self._tasks += [self._loop.create_task(self._keep(feed)) for feed in feeds]
-        self._tasks.append(self._loop.create_task(self._look()))
+        self._tasks += [self._loop.create_task(self._look()), self._loop.create_task(self._save())]
 
     async def _listen(self, door: Door, place: tuple[str, int]) -> None:
         sock = _bound(place)
@@ -154,6 +193,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._save_last()
         for receiver in list(self.receivers):
             receiver.abort()
         for operator in list(self._operators):
