Tiers: who comes with a list is told no less than it knew; a deaf tier ends its watches

A newcomer with another tier's list waits for one call to the tier above. A tier that owns nothing and hears nobody for deaf_ms answers its watches 503, so that those with a neighbour go there.

--- a/larkcrank/tiers/config.py
+++ b/larkcrank/tiers/config.py
@@ -38,8 +38,9 @@
     fresh_ms: float = (
         6000.0  # not heard for so long from one it depends on, a tier tells no newcomer its list
     )
+    deaf_ms: float = 3000.0  # a tier that only passes on and hears nobody for so long ends its watches
     patience_ms: float = 30_000.0  # a source not heard for so long since the start is not waited for
-    wholes_per_s: float = 100.0  # whole answers at all doors
+    wholes_per_s: float = 250.0  # whole answers at all doors
     tier_wholes_per_s: float = 5.0  # whole answers for tiers
     whole_wait_ms: float = 2000.0  # who would wait longer for its turn is refused
     write_ms: float = 2000.0  # an answer not taken by then ends its connection
--- a/larkcrank/tiers/feeds.py
+++ b/larkcrank/tiers/feeds.py
@@ -28,13 +28,13 @@
         places: Sequence[Place],
         read: Callable[[bytes], Answer],
         take: Callable[["Feed", Place, Answer], None],
-        lines: Callable[["Feed", Place], Sequence[bytes]],
+        lines: Callable[["Feed", Place | None], Sequence[bytes]],
         settings: Settings,
         rng: Random,
         event: Callable[..., None],
     ) -> None:
         """`read` raises `AnswerError`, as `take` does for an answer that must not be taken in; `lines`:
-        header lines of a call."""
+        header lines of a call at this place, None for one beside the watch."""
         self.name = name
         self._read, self._take, self._lines, self._event = read, take, lines, event
         self._settings = settings
@@ -52,15 +52,20 @@
         self._only = len(places) == 1
         self._trouble: dict[Place, str] = {}
         self._probe: asyncio.Task[None] | None = None
+        self._check: asyncio.Task[None] | None = None
+        self._beside: tuple[Place, Asker] | None = None  # for calls while the watch waits
         self._last: Place | None = None  # that answered
         self.is_tier: bool | None = None  # None: it has not answered yet
         self.heard_at: float | None = None  # when it last told everything it had
+        self.answered_at: float | None = None  # when it last told anything
         self.excused = False  # not waited for at the start
         self.may_be_empty = False  # a whole answer without a living line is believed
         self.calls = self.failures = self.wholes = 0
 
-    def heard(self) -> None:
-        self.heard_at = asyncio.get_running_loop().time()
+    def heard(self, all_it_had: bool = True) -> None:
+        self.answered_at = asyncio.get_running_loop().time()
+        if all_it_had:
+            self.heard_at = self.answered_at
 
     @property
     def place(self) -> str:
@@ -94,9 +99,10 @@
                 else:
                     await asyncio.sleep(self.places.failed(loop.time()))
         finally:
-            if self._probe is not None:
-                self._probe.cancel()
-            for asker in self._askers.values():
+            for task in (self._probe, self._check):
+                if task is not None:
+                    task.cancel()
+            for asker in (*self._askers.values(), *([self._beside[1]] if self._beside is not None else ())):
                 asker.close()
 
     async def _look_home(self) -> None:
@@ -106,6 +112,34 @@
         self.places.looked(loop.time(), good)  # what the watch elsewhere still tells is taken in as well
         self._probe = None
 
+    def check(self) -> None:
+        """Ask at the current place what it has to tell by now, beside the watch; one such call at a time.
+
+        A tier alone: its answers may come in any order. The next answer of a discovery comes soon enough.
+        """
+        if self.is_tier and (self._check is None or self._check.done()):
+            self._check = asyncio.get_running_loop().create_task(self._check_once())
+
+    async def _check_once(self) -> None:
+        place = self.places.current
+        after = self._after.get(place)
+        if after is None:
+            return
+        if self._beside is None or self._beside[0] != place:
+            if self._beside is not None:
+                self._beside[1].close()
+            asker = Asker(place, self._settings.connect_ms / 1000.0, self._settings.answer_bytes)
+            self._beside = (place, asker)
+        self.calls += 1
+        try:
+            timeout_s = self._settings.slack_ms / 1000.0
+            target = watch_target(after, 1)
+            answer = self._read(await self._beside[1].ask(target, timeout_s, self._lines(self, None)))
+            self._answered(answer, after)
+            self._take(self, place, answer)
+        except (AskError, wire.AnswerError):
+            self.failures += 1  # the watch goes on, and says more if this was no chance
+
     async def _ask(self, place: Place, wait_ms: int | None = None) -> bool:
         after, settings = self._after.get(place), self._settings
         target, timeout_ms = LIST_TARGET, settings.whole_ms
@@ -118,7 +152,7 @@
             lines = self._lines(self, place)
             body = await self._askers[place].ask(target, timeout_ms / 1000.0, lines, bool(self.is_tier))
             answer = self._read(body)
-            self._check(answer, after)
+            self._answered(answer, after)
             self._take(self, place, answer)
         except (AskError, wire.AnswerError) as error:
             self.failures += 1
@@ -133,7 +167,7 @@
             self._event("tier_call_good", feed=self.name, place="{}:{}".format(*place))
         return not (isinstance(answer, wire.FromTier) and answer.provisional) or self._only
 
-    def _check(self, answer: Answer, after: int | None) -> None:
+    def _answered(self, answer: Answer, after: int | None) -> None:
         is_tier = isinstance(answer, wire.FromTier)
         if self.is_tier is None:
             self.is_tier = is_tier
--- a/larkcrank/tiers/program.py
+++ b/larkcrank/tiers/program.py
@@ -28,6 +28,7 @@
 LOOK_S = 0.25  # between looks at what is late
 ABOVE = "above"
 HELD = b"Held"
+ASIDE = b"Held-Aside"  # a tier's call beside its watch: it is no sidecar
 LOGGED_LATE = 5
 OPS_LINE = 128
 OPS_SILENT_S = 2.0
@@ -69,6 +70,8 @@
         self.longest_wait_ms = settings.longest_wait_ms
         self.receivers: set[Receiver] = set()
         self._slow: dict[Receiver, float] = {}
+        self._newcomers: dict[Receiver, float] = {}  # with a list of another tier, and when they asked
+        self._deaf = False  # it has nothing to tell and hears nobody
         limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         self._most = max(min(settings.connections, limit - SPARE_DESCRIPTORS), 1)
         self.sources: list[Feed] = [self._source(one) for one in config.sources]
@@ -124,7 +127,7 @@
             self.log.event("tier_snapshot_unusable", why=error.why, message=str(error))
             return
         self.state.restore(kept.lines, kept.known, now_ms)
-        for door in (self.listen, *([self.own] if self.own is not None else []), *self.doors):
+        for door in self._all_doors:
             door.changed = self.state.count
         self.log.event("tier_snapshot_taken", lines=self.state.living, age_s=round(kept.age_ms / 1000.0, 1))
 
@@ -211,10 +214,12 @@
 
     # What is heard.
 
-    def _lines(self, feed: Feed, place: Place) -> Sequence[bytes]:
+    def _lines(self, feed: Feed, place: Place | None) -> Sequence[bytes]:
         """What goes up with a call: who holds what below."""
         if feed is not self.above:
             return ()
+        if place is None:
+            return (ASIDE + b": 1",)
         told = held.Summary(self.config.name, [], [])
         if place == self._steps_of:
             told = held.summary(self.config.name, self.standing(), self._steps)
@@ -241,8 +246,7 @@
                 more = state.raise_above(mine, self._identity(), now_ms)
                 self._renewed()
                 self._changed(more)
-            if not answer.provisional:
-                feed.heard()
+            feed.heard(not answer.provisional)
         self._changed(changes)
         if feed is self.above and place == feed.places.current:
             if place != self._steps_of:
@@ -251,6 +255,8 @@
             self._steps.heard(state.count, answer.generation)
         if not self.complete or not state.knows_mine:
             self._progress()
+        self._deaf = self._deaf and self._hears_nobody
+        self._admit()
 
     def _identity(self) -> int:
         return identity(time.time(), self._rng.getrandbits(12))
@@ -340,6 +346,7 @@
         receiver.door.receivers.discard(receiver)
         receiver.door.waiting.discard(receiver)
         self._slow.pop(receiver, None)
+        self._newcomers.pop(receiver, None)
 
     def slow(self, receiver: Receiver, is_slow: bool) -> None:
         if is_slow:
@@ -356,11 +363,15 @@
             receiver.count = -1
             if after is not None and not self.is_fresh(door):
                 self._refuse(receiver)
+            elif after is not None and door.is_plain:
+                self._newcomer(receiver, now)
             else:
                 self._turn(receiver)
             return
         receiver.count = count
-        if not state.can_tell_since(count, not door.is_plain):
+        if self._deaf:
+            self._refuse(receiver)
+        elif not state.can_tell_since(count, not door.is_plain):
             self._turn(receiver)
         elif door.changed > count and door.gather.due is None:
             self._answer_since(receiver)
@@ -381,6 +392,26 @@
         since = self._loop.time() - self._settings.fresh_ms / 1000.0
         return all(feed.heard_at is not None and feed.heard_at >= since for feed in feeds)
 
+    def _newcomer(self, receiver: Receiver, now: float) -> None:
+        """It holds a list of another tier, which may have told it more than is here: ask above first."""
+        self._newcomers[receiver] = now
+        receiver.wait(now + self._settings.whole_wait_ms / 1000.0, self._refuse)
+        for feed in self._feeds:
+            feed.check()
+
+    def _admit(self) -> None:
+        """Those newcomers get their turn since whose call all has been heard."""
+        if not self._newcomers:
+            return
+        heard = [feed.heard_at for feed in self._feeds if not feed.excused]
+        since = min((at or 0.0 for at in heard), default=0.0)
+        for receiver in [one for one, at in self._newcomers.items() if at <= since]:
+            del self._newcomers[receiver]
+            self._turn(receiver)
+        for feed in self._feeds:
+            if self._newcomers:
+                feed.check()
+
     def _turn(self, receiver: Receiver) -> None:
         """The whole, once it is this receiver's turn."""
         door, now = receiver.door, self._loop.time()
@@ -402,6 +433,7 @@
 
     def _refuse(self, receiver: Receiver) -> None:
         self.refused += 1
+        self._newcomers.pop(receiver, None)
         receiver.door.waiting.discard(receiver)
         receiver.refuse(503)
 
@@ -426,6 +458,7 @@
             self._below.told(found, self._loop.time())
         elif text:
             self.foreign += 1
+        receiver.is_tier = receiver.is_tier or bool(fields.all(ASIDE.lower()))
 
     def standing(self) -> held.Standing:
         """What the sidecars at the doors and below hold, by the own count."""
@@ -507,12 +540,36 @@
             self._progress()
         if self._watch.is_open:
             self._say_held(now)
+        self._admit()
+        if not self._deaf and self._hears_nobody:
+            self._deaf = True
+            self.log.event("tier_deaf", watches=sum(len(door.waiting) for door in self._all_doors))
+            self._end_watches([one for door in self._all_doors for one in door.waiting])
         fresh = self.is_fresh(self.listen)
         if fresh is not self._was_fresh:
             self._was_fresh = fresh
             late = [feed.name for feed in self._feeds if not feed.excused and not self._is_heard(feed)]
             self.log.event("tier_fresh" if fresh else "tier_stale", not_heard=late)
 
+    @property
+    def _hears_nobody(self) -> bool:
+        """A tier with discoveries of its own always has something to tell; who only passes on has not."""
+        if self.sources or self.above is None:
+            return False
+        at = self.above.answered_at
+        return at is not None and self._loop.time() - at > self._settings.deaf_ms / 1000.0
+
+    def _end_watches(self, receivers: list[Receiver]) -> None:
+        for receiver in receivers[:SLICE]:
+            if receiver in receiver.door.waiting and self._deaf:
+                self._refuse(receiver)
+        if len(receivers) > SLICE:
+            self._loop.call_soon(self._end_watches, receivers[SLICE:])
+
+    @property
+    def _all_doors(self) -> list[Door]:
+        return [self.listen, *([self.own] if self.own is not None else []), *self.doors]
+
     @property
     def _feeds(self) -> list[Feed]:
         return [*self.sources, *([self.above] if self.above is not None else [])]
@@ -546,11 +603,11 @@
 
     def picture(self) -> dict[str, Any]:
         now, state = self._loop.time(), self.state
-        doors = [self.listen, *([self.own] if self.own is not None else []), *self.doors]
         return {
             "name": self.config.name,
             "generation": state.generation,
             "complete": self.complete,
+            "deaf": self._deaf,
             "fresh": self.is_fresh(self.listen),
             "lines": state.living,
             "tombstones": state.tombstones,
@@ -576,7 +633,7 @@
                     "connections": len(door.receivers),
                     "waiting": len(door.waiting),
                 }
-                for door in doors
+                for door in self._all_doors
             ],
             "answers": self.answers,
             "wholes": self.wholes,
--- a/tests/test_tiers_program.py
+++ b/tests/test_tiers_program.py
@@ -465,6 +465,65 @@
     run(work())
 
 
+def test_who_comes_with_a_list_of_another_tier_is_told_no_less_than_that_one_knew() -> None:
+    async def work() -> None:
+        async with alone("s-1", "s-2") as (source, region):
+            link = await Link(region.listen).start()
+            zone = Running(name="zone", above=[link.place], doors=[ANY], ops="127.0.0.1:0")
+            async with running(zone):
+                sidecar = Receiver(region.door())
+                await whole(sidecar)
+                await until(lambda: zone.it.complete)
+                link.cut()
+                source.tell(line("s-1", "Gone"))
+                await until_told(sidecar, lambda: sidecar.lines.keys() == {"s-2"})
+                moved = Receiver(zone.door())
+                moved.generation, moved.lines = sidecar.generation, dict(sidecar.lines)
+                asks = asyncio.create_task(moved.ask())
+                await until(lambda: bool(zone.events("tier_call_failed")))
+                assert zone.it.state.living == 2  # it has not heard of it yet, and says nothing
+                link.heal()
+                while await asks != 200:
+                    asks = asyncio.create_task(moved.ask())
+                assert moved.lines.keys() == {"s-2"} and not moved.returned
+                for one in (sidecar, moved):
+                    one.close()
+            link.stop()
+
+    run(work())
+
+
+def test_a_tier_that_only_passes_on_ends_its_watches_when_it_hears_nobody_and_a_region_does_not() -> None:
+    async def work() -> None:
+        deaf = {"deaf_ms": 700.0}
+        async with three("s-1") as (source, link, _, region, _):
+            up = await Link(region.listen).start()
+            zone = Running(name="deaf", above=[up.place], doors=[ANY], settings=deaf, ops="127.0.0.1:0")
+            async with running(zone):
+                here, near = Receiver(zone.door()), Receiver(region.listen)
+                await until(lambda: zone.it.complete)
+                await whole(here)
+                await whole(near)
+                waits = asyncio.create_task(here.ask())
+                up.cut()
+                link.cut()  # the region is cut off as well
+                assert await waits == 503 and zone.events("tier_deaf")
+                assert await here.ask() == 503  # also who comes again
+                assert (await operator(zone, "STATE"))[1]["deaf"] is True
+                await until(lambda: bool(region.it.above and region.it.above.trouble))
+                source.tell(line("s-2"))
+                await until_told(near, lambda: near.lines.keys() == {"s-1", "s-2"})
+                up.heal()
+                while await here.ask() != 200:
+                    await asyncio.sleep(0.02)
+                await until_told(here, lambda: here.lines.keys() == {"s-1", "s-2"})
+                here.close()
+                near.close()
+            up.stop()
+
+    run(work())
+
+
 GOOD = {"name": "z", "listen": "127.0.0.1:0", "above": ["127.0.0.1:1"]}
 
 
--- a/tests/tiers_bed.py
+++ b/tests/tiers_bed.py
@@ -127,15 +127,14 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.append(writer)
         self.taken += 1
-        await self._open.wait()
-        host, _, port = self.to.rpartition(":")
         try:
+            await self._open.wait()
+            host, _, port = self.to.rpartition(":")
             there = await asyncio.open_connection(host, int(port))
-        except OSError:
+            self._writers.append(there[1])
+            await asyncio.gather(self._pass(reader, there[1]), self._pass(there[0], writer))
+        except (OSError, asyncio.CancelledError):  # the loop may end meanwhile
             writer.transport.abort()
-            return
-        self._writers.append(there[1])
-        await asyncio.gather(self._pass(reader, there[1]), self._pass(there[0], writer))
 
     async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
