--- a/larkcrank/tiers/asking.py
+++ b/larkcrank/tiers/asking.py
@@ -21,6 +21,7 @@
         """`most`: bytes of an answer's body."""
         self._place, self._connect_s, self._most = place, connect_s, most
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self.sent = self.received = 0  # bytes
 
     async def ask(
         self, target: bytes, timeout_s: float, lines: Iterable[bytes] = (), again: bool = True
@@ -72,6 +73,7 @@
         assert self._streams is not None
         reader, writer = self._streams
         writer.write(request)
+        self.sent += len(request)
         parser = http1.ResponseParser(max_body=self._most)
         begun = False
         while not parser.complete:
@@ -81,6 +83,7 @@
                     break
                 raise OSError("ended in an answer") if begun or not kept else _EndedError
             begun = True
+            self.received += len(data)
             parser.feed(data)
         return parser.response()
 
--- a/larkcrank/tiers/feeds.py
+++ b/larkcrank/tiers/feeds.py
@@ -54,6 +54,7 @@
         self._probe: asyncio.Task[None] | None = None
         self._check: asyncio.Task[None] | None = None
         self._beside: tuple[Place, Asker] | None = None  # for calls while the watch waits
+        self._bytes = (0, 0)  # out and in, of those that were closed
         self._last: Place | None = None  # that answered
         self.is_tier: bool | None = None  # None: it has not answered yet
         self.heard_at: float | None = None  # when it last told everything it had
@@ -67,6 +68,13 @@
         if all_it_had:
             self.heard_at = self.answered_at
 
+    @property
+    def bytes(self) -> tuple[int, int]:
+        """Sent and received."""
+        askers = [*self._askers.values(), *([self._beside[1]] if self._beside is not None else [])]
+        sent = self._bytes[0] + sum(asker.sent for asker in askers)
+        return sent, self._bytes[1] + sum(asker.received for asker in askers)
+
     @property
     def place(self) -> str:
         return "{}:{}".format(*self.places.current)
@@ -127,7 +135,10 @@
             return
         if self._beside is None or self._beside[0] != place:
             if self._beside is not None:
-                self._beside[1].close()
+                gone = self._beside[1]
+                self._bytes = (self._bytes[0] + gone.sent, self._bytes[1] + gone.received)
+                gone.close()
+                self._beside = None
             asker = Asker(place, self._settings.connect_ms / 1000.0, self._settings.answer_bytes)
             self._beside = (place, asker)
         self.calls += 1
--- a/larkcrank/tiers/program.py
+++ b/larkcrank/tiers/program.py
@@ -94,6 +94,7 @@
         self._saved = 0  # the count of the last snapshot
         self._take_up()
         self.refused = self.wholes = self.answers = self.turned_away = self.cut = self.foreign = 0
+        self.calls = self.bytes_out = 0
 
     def _feed(self, name: str, places: Sequence[tuple[str, int]], read: Any) -> Feed:
         return Feed(
@@ -275,9 +276,9 @@
                 names = {feed.name for feed in self.sources}
                 self._changed(state.forget_sources(names, time.time() * 1000.0))
             state.renew(self._identity())
+            first, self.complete = complete and not self.complete, complete
             self._renewed()
-            if complete and not self.complete:
-                self.complete = True
+            if first:
                 self.log.event("tier_complete", lines=state.living, generation=state.generation)
 
     def _renewed(self) -> None:
@@ -356,6 +357,7 @@
 
     def called(self, receiver: Receiver, after: int | None, wait_ms: int, fields: http1.Fields) -> None:
         door, state, now = receiver.door, self.state, self._loop.time()
+        self.calls += 1
         if not door.is_plain:
             self._summary(receiver, fields)
         count = None if after is None else state.count_of(after)
@@ -635,6 +637,10 @@
                 }
                 for door in self._all_doors
             ],
+            "calls": self.calls,
+            "bytes_out": self.bytes_out,
+            "bytes_in": sum(feed.bytes[1] for feed in self._feeds),
+            "bytes_up": sum(feed.bytes[0] for feed in self._feeds),
             "answers": self.answers,
             "wholes": self.wholes,
             "refused": self.refused,
--- a/larkcrank/tiers/receivers.py
+++ b/larkcrank/tiers/receivers.py
@@ -105,6 +105,7 @@
     def slow(self, receiver: "Receiver", is_slow: bool) -> None: ...
 
     longest_wait_ms: int
+    bytes_out: int
 
 
 class Receiver(asyncio.Protocol):
@@ -187,6 +188,7 @@
             return
         self.quiet_since = self._loop.time()
         self.transport.write(data)
+        self._server.bytes_out += len(data)
         if close:
             self.transport.close()
 
--- a/tests/test_tiers_program.py
+++ b/tests/test_tiers_program.py
@@ -232,6 +232,10 @@
             assert await operator(tier, "PING") == (400, "stale")
             new.generation = 41
             assert await new.ask() == 503  # it keeps what it has
+            below = Receiver(tier.listen)
+            below.generation = 41
+            assert await below.ask() == 503
+            below.close()
             new.generation = None
             assert await new.ask() == 200  # it has nothing
             assert await known.ask(wait_ms=10) == 200 and not known.last["reset"]
@@ -245,6 +249,29 @@
     run(work())
 
 
+@pytest.mark.parametrize("waiting", [False, True])
+def test_until_all_is_heard_a_tier_below_is_told_so_and_then_given_the_whole(waiting: bool) -> None:
+    async def work() -> None:
+        first, second = await Discovery("a-1").start(), await Discovery("b-1").start()
+        second.spoil = lambda _: None
+        tier = Running(sources=[{"discovery": one.place, "service": "a"} for one in (first, second)])
+        async with running(tier):
+            below = Receiver(tier.listen)
+            await whole(below)
+            assert below.last["provisional"] and below.last["owners"] == {}  # nothing is known to be gone
+            waits = asyncio.create_task(below.ask()) if waiting else None
+            second.spoil = lambda body: body
+            await until(lambda: tier.it.complete)
+            assert await (waits or below.ask()) == 200 and not below.last["provisional"]
+            assert below.last["reset"] and below.lines.keys() == {"a-1", "b-1"}
+            assert below.last["owners"].keys() == {"t"}
+            below.close()
+        first.stop()
+        second.stop()
+
+    run(work())
+
+
 def test_whole_answers_beyond_the_rate_wait_their_turn_or_are_refused() -> None:
     async def work() -> None:
         limits = {"wholes_per_s": 2.0, "whole_wait_ms": 600.0}
--- a/tests/test_tiers_snapshot.py
+++ b/tests/test_tiers_snapshot.py
@@ -150,7 +150,9 @@
             await until(current)
             source.spoil = lambda _: None
             await tier.stop()
+            tier.told["settings"]["snapshot_age_ms"] = 0.001  # it begins with nothing, and hears nothing
             await tier.start()
+            assert tier.events("tier_snapshot_unusable")[-1]["why"] == "old"
             await tier.stop()
             assert names() == {"s-1", "s-2"}
         source.stop()
