--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -55,11 +55,12 @@
 LOOK_MOST = 64  # servers looked at for one request in one event
 RETRY_SHARE = 0.2  # further attempts allowed, as a share of requests taken
 RETRY_SAVED = 10.0  # further attempts that a quiet time may save up
-COLD_CAUTION = 0.7  # of the share of its capacity that a cold server surely has; more as its answers show
+COLD_CAUTION = 0.7  # of the share of its capacity that a cold server surely has; more as its answers show ...
+COLD_CLAIM = 0.5  # ... up to this share of what would push it over: twice its even share still does not
 RATE_MS = 2000.0  # time constant of the rate of requests
 TENANT_MS = 5000.0  # time constant of what a tenant has had
 ASK_EACH_MS = 150.0  # of spread for each instance's call: the service takes them in turn, a few a second
-ASK_AGAIN_MS = (500.0, 8000.0)  # least and longest wait for another call
+ASK_AGAIN_MS = (500.0, 5000.0, 8000.0)  # least and longest wait for a call, or after a failure; after silence
 STUCK_WEIGHT = 0.1  # of one send in the share of a class's sends that are missed
 STUCK_SHARE = 0.75  # a class that misses more than this everywhere waits for something behind the servers ...
 STUCK_OTHERS = 0.3  # ... as long as another misses less than this
@@ -139,7 +140,7 @@
         self._worth, self._taken = 0.0, 0  # mean worth of a request, and how many there were
         self._retries, self._thin, self._weigh = RETRY_SAVED, True, True  # weigh: turns and homes go by size
         self._takes: dict[int, float] = {}  # answer times of each machine type, in usual ones
-        self._sized_at, self._fetch_at = now, -math.inf
+        self._sized_at, self._fetch_at, self._watching = now, -math.inf, False
         # All start or fail together: calls are spread, or most time out and come again as a herd.
         self._spread = min(ASK_EACH_MS * settings.instances, ASK_AGAIN_MS[1])
         self._ask_at, self._ask_wait, self._wake = math.inf, max(self._spread, ASK_AGAIN_MS[0]), -math.inf
@@ -225,8 +226,8 @@
         self._sequence += 1
         heapq.heappush(self._due, (when, self._sequence, what, about))
 
-    def _ask_in(self, wait: float) -> None:
-        self._ask_at = self._now + wait
+    def _ask_in(self, wait: float, watching: bool = False) -> None:
+        self._ask_at, self._watching = self._now + wait, watching
         self._at(self._ask_at, "ask")
 
     def _arm(self) -> None:
@@ -253,7 +254,7 @@
                 self._actions.append(FetchList())
             elif what == "ask" and when == self._ask_at:
                 self._actions.append(Watch())
-                self._ask_in(ASK_AGAIN_MS[1])
+                self._ask_in(ASK_AGAIN_MS[2], True)
 
     def _measure(self) -> None:
         """Window, even share and span from our traffic; a shorter window would see sends without answers."""
@@ -306,10 +307,8 @@
         if cold <= 0 or not server.endpoint.started_at:
             return True
         sure = 1 - (1 - self._set.cold_from) * min(cold / self._set.warm_after_ms, 1.0)
-        rate = max(COLD_CAUTION * sure, server.warmth) * self._even * (server.size if self._weigh else 1.0)
-        server.cold_credit = min(server.cold_credit + rate * (self._now - server.cold_at), 1.0)
-        server.cold_at = self._now
-        return server.cold_credit >= 1.0
+        part = max(COLD_CAUTION * sure, min(server.warmth, COLD_CLAIM * self._set.fall_multiple * sure))
+        return server.earn(self._now, part * self._even * (server.size if self._weigh else 1.0)) >= 1.0
 
     def _pick(self, job: Job) -> Server | None:
         """The next server in turn with quota left that this request may go to."""
@@ -595,7 +594,7 @@
                 self._usual[job.index] += (USUAL_UP if off > 0 else ANSWER_WEIGHT) * off
 
     def _list(self, event: ServerList) -> None:
-        if not event.cached:
+        if self._watching and not event.cached:  # a list fetched without one is no answer to it
             self._ask_at, self._ask_wait = math.inf, max(self._spread, ASK_AGAIN_MS[0])
         if event.complete:
             named = {endpoint.address for endpoint in event.endpoints}
