Sidecar: discovery may be several addresses, and a watch shorter

Several addresses beside fleet.recovery are refused: generations of several tellers are not one count.

--- a/larkcrank/config/sidecar.py
+++ b/larkcrank/config/sidecar.py
@@ -14,6 +14,7 @@
 from larkcrank.protocol.http1 import HELD, MAX_BODY
 
 LEAST_SOCKETS = 32
+LEAST_WATCH_MS, LONGEST_WATCH_MS = 100, 60_000  # the longest that discovery's protocol has
 
 
 class ConfigError(Exception):
@@ -45,7 +46,8 @@
     settings: dict[str, Any]
     name: str = ""
     listen: str = ""
-    discovery: str = ""
+    discovery: list[str] | str = ""  # several: the first, and who is asked where it does not answer
+    watch_ms: int | None = None
     seed: str = ""
     limits: _Limits = msgspec.field(default_factory=_Limits)
     known: msgspec.Raw = msgspec.Raw(b"")
@@ -79,6 +81,8 @@
     name: str
     listen: tuple[str, int]  # port 0: any free one; the log says which
     discovery: tuple[str, int]
+    elsewhere: tuple[tuple[str, int], ...]  # who else tells the list, where discovery does not answer
+    watch_ms: int | None  # how long a watch waits; None: as long as it may
     seed: int
     sockets: int
     memory_mb: float
@@ -98,6 +102,7 @@
             "listen": (self.listen, new.listen),
             "kept": (self.kept, new.kept),
             "ops": (self.ops, new.ops),
+            "watch_ms": (self.watch_ms, new.watch_ms),
             "fleet": (self.fleet, new.fleet),
             "limits.memory_mb": (self.memory_mb, new.memory_mb),
             "limits.body_mb": (self.max_body, new.max_body),
@@ -139,11 +144,23 @@
     except SettingsError as error:
         raise ConfigError(str(error)) from None
     ops = environment.get("PROXY_OPS") or file.ops
-    discovery = [environment.get("PROXY_DISCOVERY"), file.discovery]
+    named: list[list[str] | str] = [environment.get("PROXY_DISCOVERY") or "", file.discovery]
+    if again:
+        named.reverse()
+    discovery, *elsewhere = _places("discovery", named[0] or named[1])
+    if len({discovery, *elsewhere}) <= len(elsewhere):
+        raise ConfigError("discovery: an address stands twice")
+    if elsewhere and file.fleet is not None and file.fleet.recovery is not None:
+        # Lists in common are told apart by generations, and those of several tellers are not one count.
+        raise ConfigError("discovery: several addresses, beside fleet.recovery")
+    if file.watch_ms is not None and not LEAST_WATCH_MS <= file.watch_ms <= LONGEST_WATCH_MS:
+        raise ConfigError(f"watch_ms: {file.watch_ms} is not from {LEAST_WATCH_MS} to {LONGEST_WATCH_MS}")
     return Config(
         name=environment.get("PROXY_NAME") or file.name or "larkcrank",
         listen=_place("listen", environment.get("PROXY_LISTEN") or file.listen, lowest=0),
-        discovery=_place("discovery", next(filter(None, reversed(discovery) if again else discovery), "")),
+        discovery=discovery,
+        elsewhere=tuple(elsewhere),
+        watch_ms=file.watch_ms,
         seed=_seed(file.seed),
         sockets=file.limits.sockets,
         memory_mb=file.limits.memory_mb,
@@ -165,6 +182,14 @@
         raise ConfigError(f"{key}: {error}") from None
 
 
+def _places(key: str, told: list[str] | str) -> list[tuple[str, int]]:
+    """One or more, in a list or in one text with commas."""
+    texts = [text.strip() for text in told.split(",")] if isinstance(told, str) else told
+    if len(texts) < 2 and isinstance(told, str):
+        return [_place(key, told)]
+    return [_place(f"{key}[{i}]", text) for i, text in enumerate(texts)] or [_place(key, "")]
+
+
 def _fleet(told: _Fleet | None) -> FleetConfig | None:
     if told is None:
         return None
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -79,6 +79,8 @@
             self.counters,
             log.failure,
             ASK_EACH_MS * site.decisions.instances / 1000.0 if site.decisions.must_ask else 0.0,
+            config.elsewhere,
+            config.watch_ms,
         )
         balancer = Balancer(site.decisions, Random(self._rng.getrandbits(64)), self._clock())
         self._balancer = balancer
@@ -320,7 +322,7 @@
             return
         host, port = new.discovery
         self.log.event("reloaded", discovery=f"{host}:{port}", needs_restart=self._config.fixed_changes(new))
-        self._discovery.move(new.discovery)
+        self._discovery.move(new.discovery, new.elsewhere)
 
     def show_counters(self) -> None:
         more = {} if self._together is None else self._together.counters()
--- a/larkcrank/routing/discovery.py
+++ b/larkcrank/routing/discovery.py
@@ -1,16 +1,19 @@
 """Discovery calls: the watch on the server list, and the whole list on demand."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import Enum
 from random import Random
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from larkcrank.protocol import discovery, http1
 from larkcrank.protocol.discovery import Listing, Names
 from larkcrank.transport.connection import Connecting, Connection, ConnectionLostError, NoRoomError
 from larkcrank.transport.descriptors import Descriptors, Use
 
+if TYPE_CHECKING:
+    from larkcrank.routing.places import Places
+
 # As long as discovery allows: each call costs it work, and what it has to tell counts as told soon after
 # the wait is over, arrived or not. A sidecar cut off from it is then held to drains it can't hear of.
 WATCH_MS = 60000
@@ -22,6 +25,7 @@
 # after the one before, at first and at most. With the 2 s that discovery takes at most that makes the 6 s.
 AGAIN_S = (1.0, 4.0)
 TURN_S = 0.5  # after a failed call, where it is by turns who calls
+HOME_S = 0.7  # away from the first of several addresses, a call there has so long to be answered
 LOOK_MS = 50  # wait of a call that is to find out whether discovery answers at all
 MAX_LIST = 4 << 20
 GATE_S = 0.1  # between looks whether a call may be made
@@ -56,16 +60,23 @@
         tally: Tally,
         failed: Callable[[str, BaseException], None],
         spread_s: float = 0.0,
+        elsewhere: Sequence[tuple[str, int]] = (),
+        watch_ms: int | None = None,
     ) -> None:
         """`always`: watch also after a move that comes before the first `watch`. `spread_s`: over which first
-        repeats of calls are spread, since many fail together; `AGAIN_S` bounds it."""
+        repeats of calls are spread, since many fail together; `AGAIN_S` bounds it. `elsewhere`: who else
+        tells the list, asked in turn where `place` does not answer; they know each other's generations or
+        tell the whole. `watch_ms`: how long a watch waits; None: as long as it may."""
         self._place = place
+        self._elsewhere = tuple(elsewhere)
+        self._watch_ms = watch_ms
         self._descriptors = descriptors
         self._names = names
         self._connect_timeout_ms = connect_timeout_ms
         self._always = always
         self._spread_s = spread_s
         self._rng = rng
+        self._places = self._make_places()  # None: there is one
         self._tally = tally
         self._failed = failed
         self._generation: int | None = None
@@ -122,15 +133,25 @@
         if not self._closed and (self._fetch is None or self._fetch.done()):
             self._fetch = asyncio.get_running_loop().create_task(self._keep_fetching())
 
-    def move(self, place: tuple[str, int]) -> None:
+    def _make_places(self) -> "Places | None":
+        if not self._elsewhere:
+            return None
+        from larkcrank.routing.places import Places  # who has one address does without
+
+        return Places((self._place, *self._elsewhere), self._rng, again_s=1.0)
+
+    def move(self, place: tuple[str, int], elsewhere: Sequence[tuple[str, int]] = ()) -> None:
         """Ask at another address from now on. Its generations are its own: it is asked for the whole list.
 
         It does not wait for the balancer's next call: what the new one has to tell counts as told soon.
         """
-        if place == self._place:
+        home = self._place if self._places is None else self._places.home
+        if (place, tuple(elsewhere)) == (home, self._elsewhere):
             return
         self._end_calls()  # nothing that the old one still answers may overwrite the new list
         self._place, self._generation, self._moved = place, None, True
+        self._elsewhere = tuple(elsewhere)
+        self._places = self._make_places()
         self._watch = self._fetch = None
         self._doubted = False
         if self._wanted or self._always:
@@ -153,6 +174,7 @@
         try:
             while True:
                 await self._leave()
+                line = await self._at_current(line)
                 began = loop.time()
                 waits = self._generation is not None and not self._doubted
                 error = await self._ask(line, Call.WATCH if waits else Call.LOOK)
@@ -160,9 +182,14 @@
                 if waits and (error is None or took > AGAIN_S[1]):
                     pauses.begin()
                 if error is None:
+                    if self._places is not None:
+                        self._places.answered()
                     continue
                 self._doubted = True
                 self.on_failure(str(error) or type(error).__name__)
+                if self._places is not None:
+                    await asyncio.sleep(self._go_on(line.place, 0.0 if waits else took))
+                    continue
                 if waits and isinstance(error, TimeoutError):
                     continue  # it took its time, and what it missed counts as told soon
                 await self._pause(pauses, 0.0 if waits else took)
@@ -185,11 +212,51 @@
                     self.on_failure(str(error) or type(error).__name__)
                 if error is None or tries_on:
                     return
-                await self._pause(pauses, loop.time() - began)
+                if self._places is not None:
+                    await asyncio.sleep(self._go_on(line.place, loop.time() - began))
+                    line.close()
+                    line = _Line(self._place, self._descriptors, self._connect_timeout_ms)
+                else:
+                    await self._pause(pauses, loop.time() - began)
                 await self._leave()
         finally:
             line.close()
 
+    def _go_on(self, failed: tuple[str, int], took_s: float) -> float:
+        """This place has failed, a call in `took_s`: ask the next one, in so many seconds."""
+        assert self._places is not None
+        if failed != self._place:
+            return 0.0  # another call has found that out before
+        wait_s = self._places.failed(asyncio.get_running_loop().time())
+        self._place = self._places.current
+        return min(wait_s, max(AGAIN_S[1] - took_s, 0.0))
+
+    async def _at_current(self, line: "_Line") -> "_Line":
+        """The line to whom is to be asked now; away from home, home is asked first once in a while."""
+        places = self._places
+        if places is None:
+            return line
+        now = asyncio.get_running_loop().time()
+        if places.look_home(now) and not self._doubted:
+            home = _Line(places.home, self._descriptors, self._connect_timeout_ms)
+            good = False
+            try:
+                async with asyncio.timeout(HOME_S):
+                    good = await self._ask(home, Call.LOOK) is None
+            except TimeoutError:
+                pass
+            finally:
+                if not good:
+                    home.close()
+            places.looked(now, good)
+            if good:
+                line.close()
+                line, self._place = home, places.home
+        if line.place != self._place:
+            line.close()
+            line = _Line(self._place, self._descriptors, self._connect_timeout_ms)
+        return line
+
     async def _leave(self) -> None:
         """Wait for leave to call."""
         while self.gate is not None and not self.gate():
@@ -257,7 +324,8 @@
         if self._generation is not None and call is Call.LOOK:
             target = discovery.watch_target(self._generation, LOOK_MS)
         elif self._generation is not None and call is Call.WATCH:
-            target, timeout = discovery.watch_target(self._generation, WATCH_MS), WATCH_MS + SLACK_MS
+            wait_ms = WATCH_MS if self._watch_ms is None else self._watch_ms
+            target, timeout = discovery.watch_target(self._generation, wait_ms), wait_ms + SLACK_MS
         async with asyncio.timeout(timeout / 1000.0):
             return await line.get(target)
 
@@ -292,7 +360,7 @@
     """A connection to discovery, kept between calls."""
 
     def __init__(self, place: tuple[str, int], descriptors: Descriptors, connect_timeout_ms: float) -> None:
-        self._place, self._descriptors, self._connect_timeout_ms = place, descriptors, connect_timeout_ms
+        self.place, self._descriptors, self._connect_timeout_ms = place, descriptors, connect_timeout_ms
         self._connection: Connection | None = None
 
     async def get(self, target: bytes) -> http1.Response:
@@ -308,12 +376,12 @@
                 self.close()
                 raise _CrossedError(str(error)) from None
         self.close()
-        connecting = Connecting(self._place, self._descriptors, Use.DISCOVERY)
+        connecting = Connecting(self.place, self._descriptors, Use.DISCOVERY)
         self._connection = connecting.connection
         return await self._get(await connecting.wait(self._connect_timeout_ms), target)
 
     async def _get(self, connection: Connection, target: bytes) -> http1.Response:
-        host = b"Host: %s:%d" % (self._place[0].encode(), self._place[1])
+        host = b"Host: %s:%d" % (self.place[0].encode(), self.place[1])
         await connection.write(http1.request_bytes(b"GET", target, (host,)))
         parser = http1.ResponseParser(max_body=MAX_LIST)
         parser.feed(await connection.read())
