Tiers: who is at a stale neighbour looks elsewhere; who was cut off while lacking is told

From outside: a zone at a neighbour that was itself cut off stayed there for up to a minute, and a stopped sidecar counted as served after its connection was ended. Answers between tiers carry stale; a connection that the tier ends leaves a mark for left_ms. Both taken out once: their tests fail.

--- a/larkcrank/routing/places.py
+++ b/larkcrank/routing/places.py
@@ -64,3 +64,13 @@
             self._index, self._back_at = 0, None
         else:
             self._back_at = now + self._rng.uniform(*self._back_s)
+
+    def others(self) -> tuple[Place, ...]:
+        """All but the current place, those after it first."""
+        return self._places[self._index + 1 :] + self._places[: self._index]
+
+    def go(self, place: Place, now: float) -> None:
+        """That place is the better one now."""
+        self._index = self._places.index(place)
+        self._failures = 0
+        self._back_at = now + self._rng.uniform(*self._back_s) if self.away else None
--- a/larkcrank/tiers/config.py
+++ b/larkcrank/tiers/config.py
@@ -56,6 +56,7 @@
     tombstone_ms: float = 7_200_000.0
     snapshot_ms: float = 10_000.0  # between two snapshots, where something has changed
     snapshot_age_ms: float = 3_600_000.0  # an older snapshot is not taken up
+    left_ms: float = 600_000.0  # a sidecar cut off while it lacked something is counted so long as lacking it
     held_ms: float = 3000.0  # told of a summary so long ago, it is none; who lags so long is logged
 
 
--- a/larkcrank/tiers/feeds.py
+++ b/larkcrank/tiers/feeds.py
@@ -51,6 +51,10 @@
         self._after: dict[Place, int] = {}  # each place counts by itself
         self._only = len(places) == 1
         self._trouble: dict[Place, str] = {}
+        self._rng = rng
+        self._place_stale: dict[Place, bool] = {}  # of those that have answered
+        self._restless_at: float | None = None  # while the current place is stale: when to look elsewhere
+        self._turn = 0
         self._probe: asyncio.Task[None] | None = None
         self._check: asyncio.Task[None] | None = None
         self._beside: tuple[Place, Asker] | None = None  # for calls while the watch waits
@@ -79,6 +83,11 @@
     def place(self) -> str:
         return "{}:{}".format(*self.places.current)
 
+    @property
+    def stale(self) -> bool:
+        """The current place hears nothing from above itself."""
+        return self._place_stale.get(self.places.current, False)
+
     @property
     def generation(self) -> int | None:
         """Of the current place, as last told."""
@@ -93,8 +102,9 @@
         loop = asyncio.get_running_loop()
         try:
             while True:
-                if self._probe is None and self.places.look_home(loop.time()):
-                    self._probe = loop.create_task(self._look_home())
+                better = self._better(loop.time())
+                if self._probe is None and better is not None:
+                    self._probe = loop.create_task(self._look(better))
                 place = self.places.current
                 good = await self._ask(place)
                 if place != self.places.current:
@@ -113,11 +123,38 @@
             for asker in (*self._askers.values(), *([self._beside[1]] if self._beside is not None else ())):
                 asker.close()
 
-    async def _look_home(self) -> None:
-        """Ask at home beside the watch at the current place, which goes on until home has answered."""
-        loop = asyncio.get_running_loop()
-        good = await self._ask(self.places.home, wait_ms=1)
-        self.places.looked(loop.time(), good)  # what the watch elsewhere still tells is taken in as well
+    def _better(self, now: float) -> Place | None:
+        """Where to look, beside the watch: home after a while; elsewhere where the current is stale."""
+        if self.places.look_home(now):
+            return self.places.home
+        if not self.stale or self._only:
+            self._restless_at = None
+            return None
+        if self._restless_at is None:
+            self._restless_at = now + self._rng.uniform(0.0, self._settings.spread_ms / 1000.0)
+        if now < self._restless_at:
+            return None
+        others = self.places.others()
+        place = self.places.home if self.places.away else others[self._turn % len(others)]
+        self._turn += 1
+        # Who was heard before tells but what is new; of another it would be the whole list each time.
+        span = (
+            (1000.0, 3000.0)
+            if place in self._after
+            else (self._settings.back_min_ms, self._settings.back_max_ms)
+        )
+        self._restless_at = now + self._rng.uniform(*span) / 1000.0
+        return place
+
+    async def _look(self, place: Place) -> None:
+        """Ask there beside the watch at the current place, and go there if it is the better one."""
+        now = asyncio.get_running_loop().time()
+        stale = self.stale
+        good = await self._ask(place, wait_ms=1)  # what the watch elsewhere still tells is taken in as well
+        if good and (not self._place_stale.get(place) or (place == self.places.home and not stale)):
+            self.places.go(place, now)
+        elif place == self.places.home:
+            self.places.looked(now, False)
         self._probe = None
 
     def check(self) -> None:
@@ -174,6 +211,7 @@
             self._failed(place, str(error))
             return False
         self._after[place] = answer.generation
+        self._place_stale[place] = isinstance(answer, wire.FromTier) and answer.stale
         if self._trouble.pop(place, None) is not None:
             self._event("tier_call_good", feed=self.name, place="{}:{}".format(*place))
         return not (isinstance(answer, wire.FromTier) and answer.provisional) or self._only
--- a/larkcrank/tiers/program.py
+++ b/larkcrank/tiers/program.py
@@ -30,6 +30,7 @@
 HELD = b"Held"
 ASIDE = b"Held-Aside"  # a tier's call beside its watch: it is no sidecar
 LOGGED_LATE = 5
+MOST_LEFT = 20
 OPS_LINE = 128
 OPS_SILENT_S = 2.0
 OPS_MOST = 16
@@ -71,6 +72,7 @@
         self.receivers: set[Receiver] = set()
         self._slow: dict[Receiver, float] = {}
         self._newcomers: dict[Receiver, float] = {}  # with a list of another tier, and when they asked
+        self._left: dict[tuple[str, str], tuple[int, float, str]] = {}  # cut off while they lacked something
         self._deaf = False  # it has nothing to tell and hears nobody
         limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         self._most = max(min(settings.connections, limit - SPARE_DESCRIPTORS), 1)
@@ -298,6 +300,7 @@
             self._marks.clear()
             self._watch.clear()
             self._steps.clear()
+            self._left.clear()
             for door in self.doors:
                 for receiver in list(door.waiting):
                     self._turn(receiver)
@@ -358,6 +361,8 @@
     def called(self, receiver: Receiver, after: int | None, wait_ms: int, fields: http1.Fields) -> None:
         door, state, now = receiver.door, self.state, self._loop.time()
         self.calls += 1
+        if self._left:
+            self._left.pop(self._who(receiver), None)
         if not door.is_plain:
             self._summary(receiver, fields)
         count = None if after is None else state.count_of(after)
@@ -477,6 +482,14 @@
                     generation = 0 if count < 0 else state.generation - state.count + count
                     late = held.Late(self.config.name, door.name, receiver.peer, generation, late_s)
                     standing.late.append((count, late))
+        for (door_name, _), (count, at, peer) in list(self._left.items()):
+            if now - at > self._settings.left_ms / 1000.0:
+                del self._left[door_name, peer.rpartition(":")[0]]
+                continue
+            standing.add(count)
+            generation = 0 if count < 0 else state.generation - state.count + count
+            gone = held.Late(self.config.name, f"{door_name} (left)", peer, generation, round(now - at, 3))
+            standing.late.append((count, gone))
         for summary in self._below.now(now):
             for generation, number in summary.held:
                 count_below = state.count_of(generation)
@@ -530,12 +543,13 @@
 
     def _look_once(self) -> None:
         now = self._loop.time()
+        self.listen.stale = self.is_stale
         for receiver in [one for one, until in self._slow.items() if until <= now]:
             self.cut += 1
-            receiver.abort()
+            self._cut_off(receiver)
         quiet = now - self._settings.idle_ms / 1000.0
         for receiver in [one for one in self.receivers if not one.asks and one.quiet_since < quiet]:
-            receiver.abort()
+            self._cut_off(receiver)
         if not self.complete:
             if now - self._began > self._settings.patience_ms / 1000.0:
                 self._excuse()
@@ -553,6 +567,32 @@
             late = [feed.name for feed in self._feeds if not feed.excused and not self._is_heard(feed)]
             self.log.event("tier_fresh" if fresh else "tier_stale", not_heard=late)
 
+    def _cut_off(self, receiver: Receiver) -> None:
+        """End a connection that is stuck; who lacks something is remembered until he comes again."""
+        if receiver.has_called and not receiver.is_tier and receiver.door is not self.own:
+            count = receiver.door.holds(receiver.count)
+            if count < self.state.count:
+                since = receiver.quiet_since if count < 0 else self._marks.after(count)
+                at = self._loop.time() if since is None else since
+                self._left.pop(self._who(receiver), None)
+                self._left[self._who(receiver)] = (count, at, receiver.peer)
+                if len(self._left) > MOST_LEFT:
+                    del self._left[next(iter(self._left))]
+        receiver.abort()
+
+    @staticmethod
+    def _who(receiver: Receiver) -> tuple[str, str]:
+        return receiver.door.name, receiver.peer.rpartition(":")[0]
+
+    @property
+    def is_stale(self) -> bool:
+        """Whether this tier, or one above it, hears nothing from above."""
+        if self.above is None:
+            return False
+        at = self.above.heard_at
+        silent = at is None or self._loop.time() - at > self._settings.deaf_ms / 1000.0
+        return silent or self.above.stale
+
     @property
     def _hears_nobody(self) -> bool:
         """A tier with discoveries of its own always has something to tell; who only passes on has not."""
@@ -610,6 +650,7 @@
             "generation": state.generation,
             "complete": self.complete,
             "deaf": self._deaf,
+            "stale": self.is_stale,
             "fresh": self.is_fresh(self.listen),
             "lines": state.living,
             "tombstones": state.tombstones,
--- a/larkcrank/tiers/receivers.py
+++ b/larkcrank/tiers/receivers.py
@@ -34,7 +34,8 @@
         self.waiting: set[Receiver] = set()
         self.place: tuple[str, int] = ("", 0)
         self._state = state
-        self._cached_at = (-1, -1, False)
+        self._cached_at = (-1, -1, False, False)
+        self.stale = False  # what is told here may be behind: the tier hears nothing from above
         self._cache: dict[int, bytes] = {}
         self._wave: list[Receiver] = []
 
@@ -75,7 +76,7 @@
 
     def _shared(self, count: int, provisional: bool) -> bytes:
         state = self._state
-        mark = (state.identity, state.count, provisional)
+        mark = (state.identity, state.count, provisional, self.stale)
         if self._cached_at != mark or len(self._cache) > MOST_CACHED:
             self._cached_at = mark
             self._cache.clear()
@@ -92,7 +93,7 @@
         else:
             owners = self.owners
             lines = state.all_since(count, owners)
-            body = wire.full(lines, state.generation, whole, state.known_of(owners), provisional)
+            body = wire.full(lines, state.generation, whole, state.known_of(owners), provisional, self.stale)
         return http1.response_bytes(200, _JSON, body)
 
 
--- a/larkcrank/tiers/wire.py
+++ b/larkcrank/tiers/wire.py
@@ -41,6 +41,7 @@
     reset: bool = False
     owners: dict[str, tuple[int, int]] | None = None
     provisional: bool = False
+    stale: bool = False
 
 
 class _Raw(msgspec.Struct):
@@ -61,6 +62,7 @@
     lines: list[Line]
     known: dict[str, Version]
     provisional: bool  # it has not yet heard from all that it depends on
+    stale: bool = False  # it, or one above it, has heard nothing from above of late
 
 
 _answer = msgspec.json.Decoder(_Answer)
@@ -88,7 +90,7 @@
         return FromDiscovery(told.generation, told.reset, lines)
     merged = [_merged(line, fields) for line, fields in pairs]
     _check_services((one.service for one in merged), services)
-    return FromTier(told.generation, told.reset, merged, told.owners, told.provisional)
+    return FromTier(told.generation, told.reset, merged, told.owners, told.provisional, told.stale)
 
 
 def _check_services(found: Iterable[str], services: Collection[str] | None) -> None:
@@ -149,7 +151,12 @@
 
 
 def full(
-    lines: Iterable[Line], generation: int, whole: bool, known: dict[str, Version], provisional: bool
+    lines: Iterable[Line],
+    generation: int,
+    whole: bool,
+    known: dict[str, Version],
+    provisional: bool,
+    stale: bool = False,
 ) -> bytes:
     """An answer for tiers."""
     names: dict[tuple[str, str], bytes] = {}
@@ -161,10 +168,11 @@
             extra = names[key] = b',"service":%s,"owner":%s,"version":[' % tuple(map(_line.encode, key))
         body = _gone(line) if line.gone else line.body
         parts.append(b"%s%s%d,%d]}" % (body[:-1], extra, *line.version))
-    return b'{"generation":%d,"reset":%s,"provisional":%s,"owners":%s,"instances":[%s]}' % (
+    return b'{"generation":%d,"reset":%s,"provisional":%s,"stale":%s,"owners":%s,"instances":[%s]}' % (
         generation,
         _bool(whole),
         _bool(provisional),
+        _bool(stale),
         _line.encode(known),
         b",".join(parts),
     )
--- a/tests/test_tiers_program.py
+++ b/tests/test_tiers_program.py
@@ -551,6 +551,59 @@
     run(work())
 
 
+def test_a_tier_at_a_neighbour_that_is_cut_off_itself_goes_where_more_is_known() -> None:
+    async def work() -> None:
+        wait = {"deaf_ms": 700.0}  # home is looked at by the clock after 20 s at the earliest
+        async with alone("s-1", name="top") as (source, top):
+            link = await Link(top.listen).start()
+            far = await Discovery("f-1").start()
+            here = Running(name="here", above=[top.listen])
+            near = Running(name="near", above=[link.place], settings=wait, sources=[{"discovery": far.place}])
+            async with running(here, near):
+                home = await Link(here.listen).start()
+                zone = Running(name="zone", above=[home.place, near.listen], doors=[ANY], settings=wait)
+                async with running(zone):
+                    sidecar = Receiver(zone.door())
+                    await whole(sidecar)
+                    home.cut()
+                    await until(lambda: bool(zone.it.above and zone.it.above.place == near.listen))
+                    await until_told(sidecar, lambda: sidecar.lines.keys() == {"s-1", "f-1"})
+                    home.heal()
+                    link.cut()  # the neighbour answers, and hears nothing of the rest
+                    source.tell(line("s-1", "Terminating"))
+                    await until_told(sidecar, lambda: sidecar.states["s-1"] == "Terminating")
+                    assert zone.it.above is not None and zone.it.above.place == home.place
+                    sidecar.close()
+                home.stop()
+            far.stop()
+            link.stop()
+
+    run(work())
+
+
+def test_who_was_cut_off_while_it_lacked_a_change_is_still_told_as_lacking_it() -> None:
+    async def work() -> None:
+        async with alone("s-1", settings={"idle_ms": 300.0}) as (source, tier):
+            sidecar = Receiver(tier.door())
+            await whole(sidecar)
+            await sidecar.ask(wait_ms=1)
+            source.tell(line("s-1", "Terminating"))
+            await until(lambda: not tier.it.receivers)  # it said nothing for idle_ms
+            _, told = await operator(tier, "HELD")
+            assert (told["held"], told["not_held"]) == (0, 1)
+            assert told["late"][0]["door"] == "doors[0] (left)"
+            sidecar.close()
+            await until_told(sidecar, lambda: sidecar.states == {"s-1": "Terminating"})
+            waits = asyncio.create_task(sidecar.ask())
+            await until(lambda: bool(tier.it.doors[0].waiting))
+            _, told = await operator(tier, "HELD")
+            assert (told["held"], told["not_held"]) == (1, 0)
+            waits.cancel()
+            sidecar.close()
+
+    run(work())
+
+
 GOOD = {"name": "z", "listen": "127.0.0.1:0", "above": ["127.0.0.1:1"]}
 
 
