Fleet bench: the load goes on while a counter is waited for, members' ports are the bench's own

`test_another_asks_when_the_one_whose_turn_it_is_dies` failed 2 of 2 at a load of 40 to 60 on four cores: the wait for `served` of three ended at 0 and at 2 of 3. By reading: `Clients.run` ends after `seconds` of real time; restarts that take longer leave nobody who asks, and the counter never grows. Now the load goes on while a wait for a counter is open; no bound was moved.

`test_the_deaf_go_by_what_their_fellows_hear` failed 1 of 3 at a load of 35: nobody ever saw four members. That this was the cause of that failure is likely, not shown. Ports are now on a loopback address by the bench's process id, so that benches side by side can't take each other's.

Ruled out for `test_parts_follow_a_scale_out`: few cores.

Tests: `test_the_load_goes_on_while_a_counter_that_needs_it_is_waited_for`, `test_a_port_that_another_bench_takes_meanwhile_keeps_no_member_out`; each fails without its mend.

--- a/larkcrank/lab/bench.py
+++ b/larkcrank/lab/bench.py
@@ -39,6 +39,7 @@
 FOLDER = "larkcrank-fleet-"  # in the temporary directory, then the bench's own process id
 EVERYONE = -1  # the near end of a link that all processes share
 OWN_PORTS = (20000, 32000)  # of members, for datagrams
+OWN_NET = 64
 SEEDS = 3  # the first members, which others may be told to begin with
 MOST_DESCRIPTORS = 1 << 16
 
@@ -99,6 +100,7 @@
         self._replaced = 0
         self._lag_s = 0.0
         self._settled: list[Settled] = []
+        self._counted = 0  # waits for a counter that are not over
         self._failures: list[str] = []
         self._relays: list[DatagramRelay] = []
         self._undoing: list[asyncio.Task[Any]] = []
@@ -279,7 +281,10 @@
 
     async def _load(self) -> None:
         scenario, loop = self._scenario, asyncio.get_running_loop()
-        works = [clients.run(scenario.seconds) for clients in self._clients]
+        # What a counter is waited for may need the load: on a slow machine it goes on until that is settled.
+        self._counted = sum(bool(settle.counter) for settle in scenario.settles)
+        goes_on = lambda: self._counted > 0  # noqa: E731
+        works = [clients.run(scenario.seconds, goes_on) for clients in self._clients]
         works += [self._play_fault(fault) for fault in scenario.faults]
         works += [self._settle(settle) for settle in scenario.settles]
         lag = loop.create_task(self._watch_lag())
@@ -340,6 +345,7 @@
                 course.append((self._ledger.now(), share))
             if waiting:
                 await asyncio.sleep(POLL_S)
+        self._counted -= bool(settle.counter)
         took = math.inf if waiting else self._ledger.now() - settle.at
         self._settled.append(Settled(settle.at, settle.counter or settle.call, took, course))
 
@@ -586,12 +592,15 @@
 def _free_datagram_port() -> tuple[str, int]:
     """A port that was free just now: what is to bind it is told it at once.
 
-    Not one of those that the kernel gives away by itself: another process got it before ours had begun.
+    Not one of those that the kernel gives away by itself: another process got it before ours had begun. On a
+    loopback address of this bench's own: another bench beside it got it while ours was slow to begin.
     """
+    pid = os.getpid()
+    own = f"127.{OWN_NET + (pid >> 16)}.{pid >> 8 & 255}.{pid & 255}"  # process ids have 22 bits
     while True:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
             try:
-                sock.bind(("127.0.0.1", OWN_PORTS[0] + secrets.randbelow(OWN_PORTS[1] - OWN_PORTS[0])))
+                sock.bind((own, OWN_PORTS[0] + secrets.randbelow(OWN_PORTS[1] - OWN_PORTS[0])))
             except OSError:
                 continue
             host, port = sock.getsockname()
--- a/larkcrank/lab/clients.py
+++ b/larkcrank/lab/clients.py
@@ -124,12 +124,12 @@
         self._names = list(load.classes)
         self._shares = [load.classes[name] for name in self._names]
 
-    async def run(self, until: float) -> None:
-        """Ask until then, on the ledger's clock. What is out then still gets its time."""
+    async def run(self, until: float, goes_on: Callable[[], bool] = lambda: False) -> None:
+        """Ask until then, on the ledger's clock, and as long as it goes on. What is out then has its time."""
         if self._load.rate <= 0.0:
             return
         at = 0.0
-        while (at := at + self._rng.expovariate(self._load.rate)) < until:
+        while (at := at + self._rng.expovariate(self._load.rate)) < until or goes_on():
             wait = at - self.ledger.now()
             if wait > 0.0:
                 await asyncio.sleep(wait)
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -1,8 +1,10 @@
 """The fleet bench on real processes: what it starts, parts and counts, and that nothing of it is left."""
 
 import json
+import multiprocessing
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -179,6 +181,27 @@
     assert report.summary(calm, bench.play(calm, quiet)).passed
 
 
+def test_the_load_goes_on_while_a_counter_that_needs_it_is_waited_for() -> None:
+    """On a slow machine it was over before the processes were up again; here it is over at once."""
+    one = tiny(seconds=0.0, settles=[Settle(at=0.0, counter="served", least=3, within=20.0)])
+    played = bench.play(one, quiet)
+    assert played.settled[0].took < 20.0 and played.breaches == []
+
+
+def test_a_port_that_another_bench_takes_meanwhile_keeps_no_member_out() -> None:
+    """A member that can't bind keeps no view: the fleet then waits for it until its time is up."""
+    place = bench._free_datagram_port()
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as theirs,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as ours,
+    ):
+        theirs.bind(("127.0.0.1", place[1]))  # as any other program on this machine would
+        ours.bind(place)
+    with multiprocessing.get_context("fork").Pool(1) as pool:
+        other = pool.apply(bench._free_datagram_port)
+    assert other[0] != place[0] and other[0].startswith("127.")
+
+
 def test_told_different_things_callers_send_to_different_endpoints() -> None:
     hide = FaultLine(at=0.0, what="hide", between=[["sidecars:1"], ["endpoints:0"]])
     one = tiny(seconds=3.0, faults=[hide], discovery=scenario.DiscoveryPart(work_ms=5.0, known=False))
