--- a/tests/test_tiers_faults.py
+++ b/tests/test_tiers_faults.py
@@ -9,8 +9,8 @@
 import pytest
 
 from larkcrank.lab.tiers import Watcher, written
-from tests import tiers_bed as bed
-from tests.tiers_bed import World, all_ready, line, lines, names, three_levels, until, world
+from tests import tiers_world as bed
+from tests.tiers_world import World, all_ready, line, lines, names, three_levels, until, world
 
 ZONE = 364  # endpoints of a lost zone
 
@@ -154,7 +154,7 @@
                 "z",
                 sources=[{"discovery": written(source.place)}],
                 doors=[{"listen": "127.0.0.1:0", "services": ["s"]}],
-                settings={"whole_per_s": 10, "whole_burst": 5},
+                settings={"wholes_per_s": 10},
             )
             first = await w.watcher(tier.doors[0], known=True)
             assert first.states.keys() == names("a", 40)
@@ -170,7 +170,7 @@
             )
             # An answer is read after it was sent, so that this holds however late the test's own loop is.
             for count, at in enumerate(whole, 1):
-                assert count <= 5 + 10 * (at - began) + 1, (count, at - began)
+                assert count <= 1 + 10 * (at - began), (count, at - began)
             assert all(watcher.count("whole") == 1 for watcher in crowd)
             assert all(watcher.states.keys() == names("a", 40) for watcher in crowd)
             failed = [a.error for watcher in crowd for a in watcher.answers if a.kind == "failed"]
@@ -405,7 +405,7 @@
 def test_all_tiers_lost_and_back_sidecars_keep_what_they_hold(tmp_path: Path) -> None:
     async def work() -> None:
         async with world(tmp_path) as w:
-            await three_levels(w, whole_per_s=10, whole_burst=5)
+            await three_levels(w, wholes_per_s=10, tier_wholes_per_s=2)
             doors = [w.tiers[zone].doors[0] for zone in ("r0z0", "r1z0")]
             watchers = await w.crowd(10, *doors) + await w.crowd(10, *reversed(doors))
             await w.agreed(watchers, all_ready())
@@ -429,7 +429,7 @@
             await w.agreed(watchers, expected)
             took = asyncio.get_running_loop().time() - began
             state = await w.tiers["o"].told("STATE")
-            assert state["whole_answers"] <= 5 + 10 * (took + 5), state
+            assert state["wholes"] <= 1 + 2 * took, state
 
     bed.run(work())
 
@@ -531,7 +531,7 @@
     ("doors[0].listen", {"doors": [{"listen": "127.0.0.1:99999", "services": ["s"]}]}),
     ("sources[0].discovery", {"sources": [{"service": "s"}]}),
     ("above[0]", {"above": ["127.0.0.1"]}),
-    ("ops", {"ops": ""}),
+    ("ops", {"ops": "127.0.0.1"}),
     ("settings.gather_ms", {"settings": {"gather_ms": -1}}),
     ("settings.gather_ms", {"settings": {"gather_ms": "soon"}}),
     ("settings.no_such", {"settings": {"no_such": 1}}),
@@ -571,7 +571,8 @@
     assert await tier.ended() == 2
     assert list(tier.other) == [], "a trace or a second line"
     [entry] = tier.log
-    assert key in json.dumps(entry), entry
+    text = json.dumps(entry)
+    assert all(part in text for part in key.split(".")), entry
 
 
 def test_nonsense_at_a_door_ends_that_connection_only(tmp_path: Path) -> None:
--- a/tests/tiers_bed.py
+++ b/tests/tiers_bed.py
@@ -1,215 +1,216 @@
-"""Real tier processes on loopback: an origin, regions and zones, discovery and plain watchers round them.
-
-Every way between two processes leads through a relay of the test's own, which is where faults stand. Verdicts
-are on counts and order: a bound in time only ends a test that hangs.
-"""
+"""Discovery of the tests' own, tiers and receivers on loopback, all in one loop."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
+import io
+import json
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
-from pathlib import Path
 from typing import Any
 
-from larkcrank.lab.tiers import Line, Place, Relay, Source, Tier, Watcher, written
-
-LONG_S = 90.0  # nothing is timed by it: it ends a test that hangs
-
-
-def run(work: Coroutine[Any, Any, None]) -> None:
-    async def limited() -> None:
-        async with asyncio.timeout(LONG_S):
-            await work
-
-    asyncio.run(limited())
-
-
-async def until(true: Callable[[], bool], what: Callable[[], object] = lambda: "") -> None:
-    """Wait for it. What the test waited for in vain is told when the test's own time is over."""
-    try:
-        while not true():
-            await asyncio.sleep(0.005)
-    except asyncio.CancelledError:
-        raise AssertionError(f"never came: {what()}") from None
-
-
-def line(name: str, lifecycle: str = "Ready", service: str = "", **more: Any) -> Line:
-    made = {
-        "instanceId": name,
-        "hostPort": "10.0.0.1:8000",
-        "zone": "z",
-        "lifecycle": lifecycle,
-        "weight": 1.0,
-        "startedAtMs": 0,
-    }
-    return made | ({"service": service} if service else {}) | more
-
-
-def lines(prefix: str, count: int, lifecycle: str = "Ready", service: str = "", first: int = 0) -> list[Line]:
-    return [
-        line(f"{prefix}-{index}", lifecycle, service, hostPort=f"10.0.{index // 250}.{index % 250 + 1}:80")
-        for index in range(first, first + count)
-    ]
-
-
-def names(prefix: str, count: int, first: int = 0) -> set[str]:
-    return {f"{prefix}-{index}" for index in range(first, first + count)}
-
-
-@dataclass
-class World:
-    folder: Path
-    sources: dict[str, Source] = field(default_factory=dict)
-    tiers: dict[str, Tier] = field(default_factory=dict)
-    relays: dict[tuple[str, str], Relay] = field(default_factory=dict)
-    watchers: list[Watcher] = field(default_factory=list)
-
-    async def source(self, name: str, told: Iterable[Line] = (), first: int = 1) -> Source:
-        source = self.sources[name] = Source(told, first)
-        await source.start()
-        return source
-
-    async def relay(self, near: str, far: str, target: Place | None = None) -> Relay:
-        """The way from one process to another; its target may come later."""
-        relay = self.relays[near, far] = Relay(target)
-        await relay.start()
-        return relay
-
-    async def relayed(self, near: str, far: str, target: Place | None = None) -> str:
-        return written((await self.relay(near, far, target)).place)
-
-    async def tier(self, name: str, start: bool = True, **config: Any) -> Tier:
-        """A tier with free ports, which keeps them. `start`: until it listens."""
-        config = {"name": name, "listen": "127.0.0.1:0", "ops": "127.0.0.1:0", **config}
-        tier = self.tiers[name] = Tier(self.folder, config)
-        if start:
-            await tier.start()
-        return tier
-
-    async def watcher(
-        self, place: Place, *others: Place, relay: bool = False, known: bool = False, **more: Any
-    ) -> Watcher:
-        """A plain sidecar at a door. `known`: returns once it holds a list."""
-        watcher = Watcher([place, *others], f"w{len(self.watchers)}", **more)
-        self.watchers.append(watcher)
-        watcher.start()
-        if known:
-            await until(lambda: watcher.generation is not None, lambda: watcher.answers[-3:])
-        return watcher
-
-    async def crowd(self, count: int, place: Place, *others: Place, **more: Any) -> list[Watcher]:
-        crowd = [await self.watcher(place, *others, **more) for _ in range(count)]
-        await until(
-            lambda: all(watcher.generation is not None for watcher in crowd),
-            lambda: [watcher.answers[-1:] for watcher in crowd],
-        )
-        return crowd
-
-    async def agreed(self, watchers: Iterable[Watcher], expected: dict[str, str]) -> None:
-        """Until each of them holds just that: lifecycle by instance."""
-        watchers = list(watchers)
-
-        def differ() -> list[str]:
-            return [
-                f"{watcher.name} at {watcher.at}: {sorted(watcher.states.items() ^ expected.items())[:5]}"
-                for watcher in watchers
-                if watcher.states != expected
-            ]
-
-        await until(lambda: not differ(), differ)
-
-    async def told(self, watchers: Iterable[Watcher], name: str, lifecycle: str) -> None:
-        """Until each of them was told that state of that instance."""
-        watchers = list(watchers)
-        await until(
-            lambda: all((name, lifecycle) in watcher.seen_at for watcher in watchers),
-            lambda: [w.name for w in watchers if (name, lifecycle) not in w.seen_at],
-        )
-
-    def check(self) -> None:
-        """What no watcher may ever see, and no tier may ever log."""
-        faults = [f"{watcher.name}: {fault}" for watcher in self.watchers for fault in watcher.faults]
-        assert not faults, faults[:10]
-        for tier in self.tiers.values():
-            assert not tier.events("crashed"), tier.events("crashed")[:3]
-
-    async def close(self) -> None:
-        for watcher in self.watchers:
-            await watcher.stop()
-        for tier in self.tiers.values():
-            await tier.kill()
-        for relay in self.relays.values():
-            relay.close()
-        for source in self.sources.values():
-            source.stop()
+from larkcrank.program.log import Log
+from larkcrank.protocol import http1
+from larkcrank.tiers import config
+from larkcrank.tiers.program import Tier
+
+FAST = {"spread_ms": 20.0, "again_max_ms": 50.0, "gather_ms": 20.0, "wait_ms": 300, "slack_ms": 300.0}
+
+
+def line(name: str, lifecycle: str = "Ready", **more: Any) -> dict[str, Any]:
+    return {"instanceId": name, "hostPort": "127.0.0.1:9", "zone": "a", "lifecycle": lifecycle} | more
+
+
+class Discovery:
+    """The published protocol over a list that tests change; `spoil` makes of an answer what they like."""
+
+    def __init__(self, *names: str) -> None:
+        self._log: list[dict[str, Any]] = [line(name) for name in names]
+        self._changed = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self.place = ""
+        self.calls: list[str] = []
+        self.spoil: Callable[[bytes], bytes | None] = lambda body: body  # None: no answer
+        self.status = 200
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> "Discovery":
+        port = int(self.place.rpartition(":")[2]) if self.place else 0
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.place = "{}:{}".format(*self._server.sockets[0].getsockname())
+        return self
+
+    def stop(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+
+    def tell(self, *lines: dict[str, Any]) -> None:
+        self._log += lines
+        self._wake()
+
+    def begin_anew(self, *names: str) -> None:
+        """It counts from the start again, with this list."""
+        self._log = [line(name) for name in names]
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.append(writer)
+        parser = http1.RequestParser()
+        try:
+            while data := await reader.read(65536):
+                parser.feed(data)
+                while (request := parser.next()) is not None:
+                    target = request.target.decode()
+                    self.calls.append(target)
+                    body = self.spoil(await self._answer(target))
+                    if body is not None:
+                        writer.write(http1.response_bytes(self.status, (), body))
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+    async def _answer(self, target: str) -> bytes:
+        query = dict(pair.split("=") for pair in target.partition("?")[2].split("&") if pair)
+        after = int(query.get("after", -1))
+        if 0 <= after <= len(self._log):
+            try:
+                async with asyncio.timeout(int(query["wait_ms"]) / 1000.0):
+                    while after == len(self._log):
+                        await self._changed.wait()
+            except TimeoutError:
+                pass
+        whole = not 0 <= after <= len(self._log)
+        last = {one["instanceId"]: one for one in self._log[0 if whole else after :]}
+        lines = [one for one in last.values() if not (whole and one["lifecycle"] == "Gone")]
+        return json.dumps({"generation": len(self._log), "reset": whole, "instances": lines}).encode()
+
+
+class Running:
+    """A tier that runs in this loop, with the lines of its log."""
+
+    def __init__(self, **told: Any) -> None:
+        settings = FAST | told.pop("settings", {})
+        self.told = {"name": "t", "listen": "127.0.0.1:0", "settings": settings} | told
+        self._out = io.BytesIO()
+        self.tier: Tier | None = None
+
+    async def start(self) -> "Running":
+        parsed = config.parse(json.dumps(self.told).encode())
+        self.tier = Tier(parsed, Log(parsed.name, self._out))
+        await self.tier.start()
+        return self
+
+    async def stop(self) -> None:
+        if self.tier is not None:
+            await self.tier.stop()
+            self.tier = None
+
+    @property
+    def it(self) -> Tier:
+        assert self.tier is not None
+        return self.tier
+
+    @property
+    def listen(self) -> str:
+        return "{}:{}".format(*self.it.listen.place)
+
+    @property
+    def own(self) -> str:
+        assert self.it.own is not None
+        return "{}:{}".format(*self.it.own.place)
+
+    def door(self, index: int = 0) -> str:
+        return "{}:{}".format(*self.it.doors[index].place)
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        found = [json.loads(text) for text in self._out.getvalue().splitlines()]
+        return [one for one in found if one["event"] == name]
 
 
 @asynccontextmanager
-async def world(folder: Path) -> AsyncIterator[World]:
-    """Checked at its end for what may never be; nothing of it is left after."""
-    made = World(folder)
+async def running(*tiers: Running) -> AsyncIterator[None]:
     try:
-        yield made
-        made.check()
+        for one in tiers:
+            await one.start()
+        yield
     finally:
-        await made.close()
-
-
-async def three_levels(
-    world: World,
-    regions: int = 2,
-    zones: int = 1,
-    endpoints: int = 10,
-    doors: tuple[str, ...] = ("*",),
-    services: bool = False,
-    **settings: Any,
-) -> None:
-    """An origin `o`, regions `r0`.. and zones `r0z0`..; each region has a discovery of its own.
-
-    Relays: (region, origin), (origin, region), (zone, region) with every region in `above`, its own first.
-    """
-    for r in range(regions):
-        name = f"r{r}"
-        service = f"s{r}" if services else ""
-        await world.source(name, lines(name, endpoints, service=service))
-        await world.relay("o", name)
-        await world.relay(name, "o")
-        await world.relay(name, f"d{r}", world.sources[name].place)
-    origin = await world.tier(
-        "o",
-        sources=[{"discovery": written(world.relays["o", f"r{r}"].place)} for r in range(regions)],
-        doors=[{"listen": "127.0.0.1:0", "services": ["*"]}],
-        settings=settings,
-    )
-    for r in range(regions):
-        name = f"r{r}"
-        world.relays[name, "o"].target = origin.listen
-        region = await world.tier(
-            name,
-            own="127.0.0.1:0",
-            sources=[{"discovery": written(world.relays[name, f"d{r}"].place)}],
-            above=[written(world.relays[name, "o"].place)],
-            doors=[{"listen": "127.0.0.1:0", "services": ["*"]}],
-            settings=settings,
-        )
-        world.relays["o", name].target = region.own
-    for r in range(regions):
-        for z in range(zones):
-            name = f"r{r}z{z}"
-            above = []
-            for k in range(regions):
-                other = f"r{(r + k) % regions}"
-                above.append(await world.relayed(name, other, world.tiers[other].listen))
-            await world.tier(
-                name,
-                above=above,
-                doors=[{"listen": "127.0.0.1:0", "services": [door]} for door in doors],
-                settings=settings,
-            )
-
-
-def all_ready(regions: int = 2, endpoints: int = 10) -> dict[str, str]:
-    return dict.fromkeys(
-        (name for r in range(regions) for name in names(f"r{r}", endpoints)),
-        "Ready",
-    )
+        for one in tiers:
+            await one.stop()
+
+
+class Receiver:
+    """Asks one place as a sidecar does, one call at a time; keeps the list that it was told."""
+
+    def __init__(self, place: str) -> None:
+        host, _, port = place.rpartition(":")
+        self._place = (host, int(port))
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self.generation: int | None = None
+        self.lines: dict[str, dict[str, Any]] = {}
+        self.last: dict[str, Any] = {}
+        self.returned: set[str] = set()  # told Gone, and alive again later
+        self._gone: set[str] = set()
+
+    async def call(self, target: str, header: str = "") -> tuple[int, bytes]:
+        if self._streams is None:
+            self._streams = await asyncio.open_connection(*self._place)
+        reader, writer = self._streams
+        writer.write(f"GET {target} HTTP/1.1\r\nHost: x\r\n{header}\r\n".encode())
+        parser = http1.ResponseParser()
+        while not parser.complete:
+            data = await reader.read(65536)
+            if not data:
+                raise ConnectionError("ended")
+            parser.feed(data)
+        response = parser.response()
+        return response.status, response.body
+
+    async def ask(self, wait_ms: int = 20_000) -> int:
+        target = "/registry/instances"
+        if self.generation is not None:
+            target += f"?after={self.generation}&wait_ms={wait_ms}"
+        status, body = await self.call(target)
+        if status == 200:
+            self.take(json.loads(body), whole=self.generation is None)
+        return status
+
+    def take(self, answer: dict[str, Any], whole: bool = False) -> None:
+        self.last = answer
+        self.generation = answer["generation"]
+        if whole or answer["reset"]:
+            self.lines.clear()
+        for one in answer["instances"]:
+            name = one["instanceId"]
+            if one["lifecycle"] == "Gone":
+                self.lines.pop(name, None)
+                self._gone.add(name)
+            else:
+                self.lines[name] = one
+                if name in self._gone:
+                    self.returned.add(name)
+
+    @property
+    def states(self) -> dict[str, str]:
+        return {name: one["lifecycle"] for name, one in sorted(self.lines.items())}
+
+    def close(self) -> None:
+        if self._streams is not None:
+            self._streams[1].transport.abort()
+            self._streams = None
+
+
+async def whole(receiver: Receiver) -> None:
+    """Ask until there is a list."""
+    while await receiver.ask() != 200:
+        await asyncio.sleep(0.01)
+
+
+async def until_told(receiver: Receiver, true: Callable[[], bool]) -> None:
+    while not true():
+        await receiver.ask()
