--- a/larkcrank/tiers/program.py
+++ b/larkcrank/tiers/program.py
@@ -16,8 +16,8 @@
 
 from larkcrank.program.log import Log
 from larkcrank.protocol import http1
-from larkcrank.tiers import wire
-from larkcrank.tiers.config import Config, ConfigError, SourceConfig, load
+from larkcrank.tiers import held, snapshot, wire
+from larkcrank.tiers.config import Config, ConfigError, Place, SourceConfig, load
 from larkcrank.tiers.feeds import Answer, Feed
 from larkcrank.tiers.gather import Turns
 from larkcrank.tiers.receivers import SLICE, Door, Kind, Receiver
@@ -27,6 +27,9 @@
 SPARE_DESCRIPTORS = 64  # of the process's limit: for calls, listeners, files
 LOOK_S = 0.25  # between looks at what is late
 ABOVE = "above"
+HELD = b"Held"
+ASIDE = b"Held-Aside"  # a tier's call beside its watch: it is no sidecar
+LOGGED_LATE = 5
 OPS_LINE = 128
 OPS_SILENT_S = 2.0
 OPS_MOST = 16
@@ -67,6 +70,8 @@
         self.longest_wait_ms = settings.longest_wait_ms
         self.receivers: set[Receiver] = set()
         self._slow: dict[Receiver, float] = {}
+        self._newcomers: dict[Receiver, float] = {}  # with a list of another tier, and when they asked
+        self._deaf = False  # it has nothing to tell and hears nobody
         limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         self._most = max(min(settings.connections, limit - SPARE_DESCRIPTORS), 1)
         self.sources: list[Feed] = [self._source(one) for one in config.sources]
@@ -76,13 +81,19 @@
             self.above = self._feed(ABOVE, config.above, read)
         self._tasks: list[asyncio.Task[None]] = []
         self._servers: list[asyncio.Server] = []
-        self._ops_place: tuple[str, int] | None = None
+        self.ops_place: tuple[str, int] | None = None
         self._operators: set[Operator] = set()
         self._began = self._loop.time()
         self._identity_told = self.state.identity
+        held_s = settings.held_ms / 1000.0
+        self._steps, self._marks, self._below = held.Steps(), held.Marks(), held.Below(held_s)
+        self._steps_of: Place | None = None  # the place above whose generations these are
+        self._watch = held.Watch(held_s)
         self.own_complete = self.complete = False  # heard from all sources; and from above
         self._was_fresh = False
-        self.refused = self.wholes = self.answers = self.turned_away = self.cut = 0
+        self._saved = 0  # the count of the last snapshot
+        self._take_up()
+        self.refused = self.wholes = self.answers = self.turned_away = self.cut = self.foreign = 0
 
     def _feed(self, name: str, places: Sequence[tuple[str, int]], read: Any) -> Feed:
         return Feed(
@@ -103,6 +114,43 @@
         feed.may_be_empty = one.may_be_empty
         return feed
 
+    # The snapshot.
+
+    def _take_up(self) -> None:
+        """Begin with what an earlier process held. A file that can't be used is logged."""
+        path, now_ms = self.config.snapshot, time.time() * 1000.0
+        if path is None:
+            return
+        try:
+            kept = snapshot.read(path, self.config.name, now_ms, self._settings.snapshot_age_ms)
+        except snapshot.SnapshotError as error:
+            self.log.event("tier_snapshot_unusable", why=error.why, message=str(error))
+            return
+        self.state.restore(kept.lines, kept.known, now_ms)
+        for door in self._all_doors:
+            door.changed = self.state.count
+        self.log.event("tier_snapshot_taken", lines=self.state.living, age_s=round(kept.age_ms / 1000.0, 1))
+
+    async def _save(self) -> None:
+        """Keep the snapshot current. While not all has been heard the older one is the better one."""
+        path = self.config.snapshot
+        while path is not None:
+            await asyncio.sleep(self._settings.snapshot_ms / 1000.0)
+            if self.complete and self.state.count != self._saved:
+                count, data = self.state.count, snapshot.encode(self.state, time.time() * 1000.0)
+                try:
+                    await asyncio.to_thread(snapshot.write, path, data)
+                    self._saved = count
+                except OSError as error:
+                    self.log.event("tier_snapshot_not_written", message=error.strerror or str(error))
+
+    def _save_last(self) -> None:
+        if self.config.snapshot is not None and self.complete:
+            try:
+                snapshot.write(self.config.snapshot, snapshot.encode(self.state, time.time() * 1000.0))
+            except OSError as error:
+                self.log.event("tier_snapshot_not_written", message=error.strerror or str(error))
+
     # Start and end.
 
     async def start(self) -> None:
@@ -115,11 +163,11 @@
             await self._listen(door, told.listen)
         if config.ops is not None:
             sock = _bound(config.ops)
-            self._ops_place = sock.getsockname()[:2]
+            self.ops_place = sock.getsockname()[:2]
             self._servers.append(
                 await self._loop.create_server(lambda: Operator(self), sock=sock, backlog=OPS_MOST)
             )
-        more = {} if self._ops_place is None else {"ops": _text(self._ops_place)}
+        more = {} if self.ops_place is None else {"ops": _text(self.ops_place)}
         if self.own is not None:
             more["own"] = _text(self.own.place)
         self.log.event(
@@ -131,7 +179,7 @@
         )
         feeds = [*self.sources, *([self.above] if self.above is not None else [])]
         self._tasks += [self._loop.create_task(self._keep(feed)) for feed in feeds]
-        self._tasks.append(self._loop.create_task(self._look()))
+        self._tasks += [self._loop.create_task(self._look()), self._loop.create_task(self._save())]
 
     async def _listen(self, door: Door, place: tuple[str, int]) -> None:
         sock = _bound(place)
@@ -148,6 +196,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._save_last()
         for receiver in list(self.receivers):
             receiver.abort()
         for operator in list(self._operators):
@@ -165,10 +214,18 @@
 
     # What is heard.
 
-    def _lines(self, feed: Feed) -> Sequence[bytes]:
-        return ()
-
-    def _take(self, feed: Feed, answer: Answer) -> None:
+    def _lines(self, feed: Feed, place: Place | None) -> Sequence[bytes]:
+        """What goes up with a call: who holds what below."""
+        if feed is not self.above:
+            return ()
+        if place is None:
+            return (ASIDE + b": 1",)
+        told = held.Summary(self.config.name, [], [])
+        if place == self._steps_of:
+            told = held.summary(self.config.name, self.standing(), self._steps)
+        return (HELD + b": " + held.encode(told),)
+
+    def _take(self, feed: Feed, place: Place, answer: Answer) -> None:
         """Raises `AnswerError` before anything is changed."""
         state, now_ms = self.state, time.time() * 1000.0
         empty = answer.whole and not any(not line.gone for line in answer.lines)
@@ -189,11 +246,17 @@
                 more = state.raise_above(mine, self._identity(), now_ms)
                 self._renewed()
                 self._changed(more)
-            if not answer.provisional:
-                feed.heard()
+            feed.heard(not answer.provisional)
         self._changed(changes)
+        if feed is self.above and place == feed.places.current:
+            if place != self._steps_of:
+                self._steps.clear()
+                self._steps_of = place
+            self._steps.heard(state.count, answer.generation)
         if not self.complete or not state.knows_mine:
             self._progress()
+        self._deaf = self._deaf and self._hears_nobody
+        self._admit()
 
     def _identity(self) -> int:
         return identity(time.time(), self._rng.getrandbits(12))
@@ -231,9 +294,15 @@
         now, count = self._loop.time(), self.state.count
         if self.state.identity != self._identity_told:  # the count has run over: it begins anew
             self._renewed()
+            self._marks.clear()
+            self._watch.clear()
+            self._steps.clear()
             for door in self.doors:
                 for receiver in list(door.waiting):
                     self._turn(receiver)
+        self._marks.changed(count, now)
+        if not self.config.above:
+            self._watch.changed(count, now)
         concerned = {self.listen: None}
         if self.own is not None and not changes.owners.isdisjoint(self.state.subtree):
             concerned[self.own] = None
@@ -277,6 +346,7 @@
         receiver.door.receivers.discard(receiver)
         receiver.door.waiting.discard(receiver)
         self._slow.pop(receiver, None)
+        self._newcomers.pop(receiver, None)
 
     def slow(self, receiver: Receiver, is_slow: bool) -> None:
         if is_slow:
@@ -286,16 +356,22 @@
 
     def called(self, receiver: Receiver, after: int | None, wait_ms: int, fields: http1.Fields) -> None:
         door, state, now = receiver.door, self.state, self._loop.time()
+        if not door.is_plain:
+            self._summary(receiver, fields)
         count = None if after is None else state.count_of(after)
         if count is None:
             receiver.count = -1
             if after is not None and not self.is_fresh(door):
                 self._refuse(receiver)
+            elif after is not None and door.is_plain:
+                self._newcomer(receiver, now)
             else:
                 self._turn(receiver)
             return
         receiver.count = count
-        if not state.can_tell_since(count):
+        if self._deaf:
+            self._refuse(receiver)
+        elif not state.can_tell_since(count, not door.is_plain):
             self._turn(receiver)
         elif door.changed > count and door.gather.due is None:
             self._answer_since(receiver)
@@ -316,6 +392,26 @@
         since = self._loop.time() - self._settings.fresh_ms / 1000.0
         return all(feed.heard_at is not None and feed.heard_at >= since for feed in feeds)
 
+    def _newcomer(self, receiver: Receiver, now: float) -> None:
+        """It holds a list of another tier, which may have told it more than is here: ask above first."""
+        self._newcomers[receiver] = now
+        receiver.wait(now + self._settings.whole_wait_ms / 1000.0, self._refuse)
+        for feed in self._feeds:
+            feed.check()
+
+    def _admit(self) -> None:
+        """Those newcomers get their turn since whose call all has been heard."""
+        if not self._newcomers:
+            return
+        heard = [feed.heard_at for feed in self._feeds if not feed.excused]
+        since = min((at or 0.0 for at in heard), default=0.0)
+        for receiver in [one for one, at in self._newcomers.items() if at <= since]:
+            del self._newcomers[receiver]
+            self._turn(receiver)
+        for feed in self._feeds:
+            if self._newcomers:
+                feed.check()
+
     def _turn(self, receiver: Receiver) -> None:
         """The whole, once it is this receiver's turn."""
         door, now = receiver.door, self._loop.time()
@@ -337,6 +433,7 @@
 
     def _refuse(self, receiver: Receiver) -> None:
         self.refused += 1
+        self._newcomers.pop(receiver, None)
         receiver.door.waiting.discard(receiver)
         receiver.refuse(503)
 
@@ -351,6 +448,74 @@
         door.waiting.discard(receiver)
         receiver.answer(door.since(receiver.count, not self._complete(door)))
 
+    # What is held.
+
+    def _summary(self, receiver: Receiver, fields: http1.Fields) -> None:
+        text = fields.all(HELD.lower())
+        found = held.decode(text[0]) if text else None
+        if found is not None:
+            receiver.is_tier = True
+            self._below.told(found, self._loop.time())
+        elif text:
+            self.foreign += 1
+        receiver.is_tier = receiver.is_tier or bool(fields.all(ASIDE.lower()))
+
+    def standing(self) -> held.Standing:
+        """What the sidecars at the doors and below hold, by the own count."""
+        standing, state, now = held.Standing(), self.state, self._loop.time()
+        for door in (self.listen, *self.doors):
+            for receiver in door.receivers:
+                if receiver.is_tier or not receiver.has_called:
+                    continue
+                count = door.holds(receiver.count)
+                standing.add(count)
+                if count < state.count:
+                    since = receiver.quiet_since if count < 0 else self._marks.after(count)
+                    late_s = round(now - (now if since is None else since), 3)
+                    generation = 0 if count < 0 else state.generation - state.count + count
+                    late = held.Late(self.config.name, door.name, receiver.peer, generation, late_s)
+                    standing.late.append((count, late))
+        for summary in self._below.now(now):
+            for generation, number in summary.held:
+                count_below = state.count_of(generation)
+                standing.add(-1 if count_below is None else count_below, number)
+            for late in summary.late:
+                count_below = state.count_of(late.generation)
+                standing.late.append((-1 if count_below is None else count_below, late))
+        return standing
+
+    def held(self, generation: int | None) -> tuple[bool, str]:
+        """Who holds this generation of this tier, or its latest."""
+        state = self.state
+        count = state.count if generation is None else state.count_of(generation)
+        if count is None:
+            return False, "no generation of this tier, or of an earlier life of it"
+        standing = self.standing()
+        holding = standing.holding(count)
+        told = {
+            "generation": state.generation - state.count + count,
+            "held": holding,
+            "not_held": standing.total - holding,
+            "late": [msgspec.structs.asdict(one) for _, one in standing.latest(count=count)],
+            "silent": {tier: round(s, 3) for tier, s in self._below.silent(self._loop.time()).items()},
+        }
+        return True, msgspec.json.encode(told).decode()
+
+    def _say_held(self, now: float) -> None:
+        standing = self.standing()
+        said = self._watch.look(standing.least, now)
+        if said is None:
+            return
+        what, count, took_s = said
+        more: dict[str, Any] = {}
+        if what == "lagging":
+            more["not_held"] = standing.total - standing.holding(count)
+            more["late"] = [msgspec.structs.asdict(one) for _, one in standing.latest(LOGGED_LATE, count)]
+        generation = self.state.generation - self.state.count + count
+        self.log.event(
+            f"tier_{what}", generation=generation, sidecars=standing.total, after_s=round(took_s, 3), **more
+        )
+
     # What is late.
 
     async def _look(self) -> None:
@@ -373,12 +538,38 @@
             if now - self._began > self._settings.patience_ms / 1000.0:
                 self._excuse()
             self._progress()
+        if self._watch.is_open:
+            self._say_held(now)
+        self._admit()
+        if not self._deaf and self._hears_nobody:
+            self._deaf = True
+            self.log.event("tier_deaf", watches=sum(len(door.waiting) for door in self._all_doors))
+            self._end_watches([one for door in self._all_doors for one in door.waiting])
         fresh = self.is_fresh(self.listen)
         if fresh is not self._was_fresh:
             self._was_fresh = fresh
             late = [feed.name for feed in self._feeds if not feed.excused and not self._is_heard(feed)]
             self.log.event("tier_fresh" if fresh else "tier_stale", not_heard=late)
 
+    @property
+    def _hears_nobody(self) -> bool:
+        """A tier with discoveries of its own always has something to tell; who only passes on has not."""
+        if self.sources or self.above is None:
+            return False
+        at = self.above.answered_at
+        return at is not None and self._loop.time() - at > self._settings.deaf_ms / 1000.0
+
+    def _end_watches(self, receivers: list[Receiver]) -> None:
+        for receiver in receivers[:SLICE]:
+            if receiver in receiver.door.waiting and self._deaf:
+                self._refuse(receiver)
+        if len(receivers) > SLICE:
+            self._loop.call_soon(self._end_watches, receivers[SLICE:])
+
+    @property
+    def _all_doors(self) -> list[Door]:
+        return [self.listen, *([self.own] if self.own is not None else []), *self.doors]
+
     @property
     def _feeds(self) -> list[Feed]:
         return [*self.sources, *([self.above] if self.above is not None else [])]
@@ -404,17 +595,19 @@
         if word == "PING" and not rest:
             fresh = self.is_fresh(self.listen)
             return fresh, "fresh" if fresh else "stale" if self.complete else "starting"
+        if word == "HELD" and (not rest or (rest.isascii() and rest.isdigit() and len(rest) < 20)):
+            return self.held(int(rest) if rest else None)
         if word == "STATE" and not rest:
             return True, msgspec.json.encode(self.picture()).decode()
         return False, "unknown call; known are PING, HELD [generation], STATE"
 
     def picture(self) -> dict[str, Any]:
         now, state = self._loop.time(), self.state
-        doors = [self.listen, *([self.own] if self.own is not None else []), *self.doors]
         return {
             "name": self.config.name,
             "generation": state.generation,
             "complete": self.complete,
+            "deaf": self._deaf,
             "fresh": self.is_fresh(self.listen),
             "lines": state.living,
             "tombstones": state.tombstones,
@@ -440,13 +633,14 @@
                     "connections": len(door.receivers),
                     "waiting": len(door.waiting),
                 }
-                for door in doors
+                for door in self._all_doors
             ],
             "answers": self.answers,
             "wholes": self.wholes,
             "refused": self.refused,
             "turned_away": self.turned_away,
             "cut": self.cut,
+            "bad_summaries": self.foreign,
         }
 
     def operator_opened(self, operator: "Operator") -> bool:
