--- a/larkcrank/lab/scale/way.py
+++ b/larkcrank/lab/scale/way.py
@@ -35,7 +35,7 @@
 PER_SERVICE = 28
 CALLS = 3  # services that a sidecar calls; nobody has told us, so it stands in every table
 EACH = 500  # hollow sidecars in a process
-LATE_S = 90.0  # a change not in force anywhere by then is told as missed
+LATE_S = 60.0  # a change not in force anywhere by then is told as missed
 LONE = 20
 SUSTAINED_PER_S = 0.6
 BURST_PER_S = 6.0
@@ -264,9 +264,8 @@
 
     async def change(self, numbers: list[int], lifecycle: str) -> list[Changed]:
         """As many endpoints, in turn, change at one moment."""
-        kind = "Gone" if lifecycle == "Gone" else "flip"
         at = time.monotonic()
-        made = await self._registry.change(len(numbers), lifecycle=kind)  # type: ignore[arg-type]
+        made = await self._registry.change(len(numbers))
         return [Changed(number, at, 0) for number in made]
 
     def usage(self) -> dict[str, tuple[float, float]]:
@@ -282,7 +281,7 @@
                 "calls": account.watches + account.lists,
                 "bytes_out": account.bytes_out,
                 "connections": account.connections,
-                "whole_answers": account.lists,
+                "wholes": account.lists,
             }
         }
 
@@ -393,7 +392,7 @@
         phase.sidecar = _per_sidecar(before, after, self.sidecars, span)
         for tier, (mib, cpu) in tiers_after.items():
             told = {"mib": round(mib, 1), "core": round((cpu - tiers[tier][1]) / span, 5)}
-            for key in ("calls", "bytes_out", "bytes_in", "whole_answers"):
+            for key in ("calls", "bytes_out", "bytes_in", "wholes", "refused"):
                 one = states_after[tier].get(key)
                 if isinstance(one, (int, float)):
                     told[key + "_per_s"] = round((one - states[tier].get(key, 0)) / span, 2)
@@ -433,8 +432,9 @@
         return made
 
     async def _zone(self, phase: Phase) -> list[Changed]:
+        # Told as draining: a line that is gone carries no weight, by which a change is known here.
         zone = [n for n in range(self.shape.size) if self.shape.zone(n) == ZONES // 2]
-        return await self.way.change(zone, "Gone")
+        return await self.way.change(zone, "Terminating")
 
 
 def _per_sidecar(
--- a/larkcrank/lab/tiers.py
+++ b/larkcrank/lab/tiers.py
@@ -360,6 +360,23 @@
             await asyncio.gather(self._task, return_exceptions=True)
         self.hang_up()
 
+    def hold(self) -> None:
+        """It stands still: it takes nothing from its socket and says nothing any more."""
+        self.receives.clear()
+        if self._kept is not None:
+            self._kept.writer.transport.pause_reading()  # type: ignore[attr-defined]
+
+    def release(self) -> None:
+        self.receives.set()
+        if self._kept is not None and not self._kept.writer.transport.is_closing():
+            self._kept.writer.transport.resume_reading()  # type: ignore[attr-defined]
+
+    @property
+    def port(self) -> int:
+        """Its own, of the connection that it has now."""
+        assert self._kept is not None
+        return int(self._kept.writer.get_extra_info("sockname")[1])
+
     def hang_up(self) -> None:
         if self._kept is not None:
             self._kept.writer.transport.abort()
@@ -398,11 +415,10 @@
             if self.generation is not None:
                 target += b"?after=%d&wait_ms=%d" % (self.generation, self.wait_ms)
             kept.writer.write(http1.request_bytes(b"GET", target, (b"Host: " + written(place).encode(),)))
-            await self.receives.wait()
             parser = http1.ResponseParser(max_body=ANSWER_MOST)
             while not parser.complete:
-                await self.receives.wait()
                 data = await kept.reader.read(65536)
+                await self.receives.wait()
                 if not data:
                     raise ConnectionResetError("ended")
                 parser.feed(data)
--- a/tests/test_tiers_faults.py
+++ b/tests/test_tiers_faults.py
@@ -127,7 +127,7 @@
             await w.agreed([reader, *stopped], dict.fromkeys(names("a", 4000), "Ready"))
             before, _ = tier.usage()
             for watcher in stopped:
-                watcher.receives.clear()  # its call is out; it reads nothing any more
+                watcher.hold()  # its call is out; it reads nothing any more
             for turn in range(10):  # each wave is some 500 KB: all of the list, told as changes
                 weight = 2.0 + turn
                 source.tell([entry | {"weight": weight} for entry in lines("a", 4000)])
@@ -139,7 +139,7 @@
             state = await tier.told("STATE")
             assert state, state
             for watcher in stopped:  # read again, each comes to what is so
-                watcher.receives.set()
+                watcher.release()
             await w.agreed([reader, *stopped], dict.fromkeys(names("a", 4000), "Ready"))
 
     async def weighs(reader: Watcher, weight: float) -> None:
@@ -449,24 +449,27 @@
             await w.told(watchers, "r0-0", "Terminating")
             await held(w, lambda told: (told["held"], told["not_held"]) == (6, 0))
             stopped = watchers[3]
-            stopped.receives.clear()
+            stopped.hold()
             w.sources["r0"].tell([line("r0-0", "Gone")])
             others = [watcher for watcher in watchers if watcher is not stopped]
             await w.told(others, "r0-0", "Gone")
             told = await held(w, lambda told: (told["held"], told["not_held"]) == (5, 1))
-            assert stopped._kept is not None
-            port = stopped._kept.writer.get_extra_info("sockname")[1]
+            port = stopped.port
             [late] = told["late"]
             assert late["tier"] == "r1z0" and late["peer"].endswith(f":{port}"), late
             assert late["since_s"] > 0 and late["generation"] < told["generation"], late
             await until(lambda: bool(origin.events("tier_lagging")), lambda: list(origin.log)[-5:])
-            stopped.receives.set()
+            stopped.release()
             await held(w, lambda told: (told["held"], told["not_held"]) == (6, 0))
             await until(lambda: bool(origin.events("tier_held")), lambda: list(origin.log)[-5:])
 
     async def held(w: World, true: Any) -> dict[str, Any]:
-        while not true(told := await w.tiers["o"].told("HELD")):
-            await asyncio.sleep(0.05)
+        told: dict[str, Any] = {}
+        try:
+            while not true(told := await w.tiers["o"].told("HELD")):
+                await asyncio.sleep(0.05)
+        except asyncio.CancelledError:
+            raise AssertionError(f"never came: {told}") from None
         return told
 
     bed.run(work())
@@ -595,6 +598,7 @@
                 sources=[{"discovery": written(source.place)}],
                 doors=[{"listen": "127.0.0.1:0", "services": ["*"]}],
             )
+            await w.complete()
             watcher = await w.watcher(tier.doors[0], known=True)
             nonsense = [
                 b"\x16\x03\x01\x02\x00\x01\x00",
