--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import resource
 import signal
 import subprocess
@@ -22,6 +23,7 @@
 from larkcrank.lab.scale import registry as registries
 from larkcrank.lab.scale.fit import FitError, fit
 from larkcrank.lab.scale.hollow import HollowHosts, Spec, tag
+from larkcrank.lab.scale.measure import order
 from larkcrank.protocol.discovery import Names, parse
 
 LONG_S = 120.0  # nothing is timed by it: it ends a test that hangs
@@ -174,6 +176,40 @@
     _run(play())
 
 
+def test_hollow_members_see_each_other() -> None:
+    """The view, ranks and lists in common are the program's own, on datagrams."""
+
+    async def play() -> None:
+        registry = registries.RegistryProcess(registries.Spec(endpoints=3))
+        hosts: HollowHosts | None = None
+        fleet = {
+            "name": f"test-{os.getpid()}",
+            "listen": "{own}",
+            "seeds": ["{seed0}"],
+            "recovery": {"same_places": True},
+        }
+        try:
+            spec = Spec(
+                count=4,
+                discovery=[await registry.start()],
+                settings={"bounds": {"peers": True}},
+                config={"fleet": fleet},
+            )
+            hosts = HollowHosts(spec, 2)
+            await hosts.start()
+            await hosts.serving()
+            reports = await hosts.until(lambda hollow: hollow.live == 4)
+            for hollow in (one for host in reports for one in host.hollows):
+                assert hollow.together["fleet"]["datagrams_out"] and not hollow.crashed
+                assert hollow.together["fleet"]["refused"] == {}
+        finally:
+            if hosts is not None:
+                await hosts.close()
+            await registry.close()
+
+    _run(play())
+
+
 def test_a_host_ends_with_its_owner() -> None:
     """An owner that is killed outright closes nothing: its children go all the same."""
     text = (
@@ -321,6 +357,13 @@
     assert (tmp_path / "small.png").stat().st_size > 0
 
 
+def test_sizes_take_turns_so_that_drift_is_no_slope() -> None:
+    turns = list(order((1, 2, 3), 3))
+    assert turns == [(1, 0), (2, 0), (3, 0), (3, 1), (2, 1), (1, 1), (1, 2), (2, 2), (3, 2)]
+    means = [sum(place for place, (size, _) in enumerate(turns) if size == one) / 3 for one in (1, 2, 3)]
+    assert max(means) - min(means) < 1.0
+
+
 def test_watchers_are_counted_by_discovery(tmp_path: Path) -> None:
     file = tmp_path / "small.toml"
     text = SMALL.replace('by = "endpoints"', 'by = "watchers"').replace("each = 2", "each = 4")
