--- a/larkcrank/lab/scale/virtual_way.py
+++ b/larkcrank/lab/scale/virtual_way.py
@@ -912,6 +912,7 @@
             world.launch(name)
         self._flip()
         took = world.until_agreed(300.0)
+        world.run(5.0)  # those whose part was as it had been are told it too
         whole = world.wholes_at - wholes
         origin = world.tiers["origin"]
         seconds = world.loop.time() - began
--- a/larkcrank/lab/scale/way.py
+++ b/larkcrank/lab/scale/way.py
@@ -23,13 +23,14 @@
 from random import Random
 from typing import Any, TypeVar
 
+from larkcrank.lab.scale.children import ChildError
 from larkcrank.lab.scale.hollow import TAG, HollowHosts, HollowReport, HostReport, Spec
 from larkcrank.lab.scale.light import LightHosts
-from larkcrank.lab.scale.machine import Load, look, text_commit
+from larkcrank.lab.scale.machine import LimitError, Load, look, text_commit
 from larkcrank.lab.scale.registry import RegistryProcess
 from larkcrank.lab.scale.registry import Spec as RegistrySpec
 from larkcrank.lab.scale.slopes import RUNS, write_json
-from larkcrank.lab.tiers import Line, Source, Tier, written
+from larkcrank.lab.tiers import Line, Source, Tier, TierError, written
 
 REGIONS = 9
 ZONES = 33
@@ -335,6 +336,8 @@
         # The beat that finds late loops is 50 wake-ups a second for each, and no part of the way of a change.
         spec = Spec(count=self.sidecars, discovery=way.discovery, beats=False, spread_s=1.0)
         if self._light:
+            if way.kind == "old":  # 12,000 whole lists of 12,000 are 20 GB, and no part of a change's way
+                spec.config = {"generation": 1}
             self.hosts: HollowHosts = LightHosts(spec, 3000)
         else:
             self.hosts = HollowHosts(spec, min(EACH, max(50, self.sidecars // 16)))
@@ -497,6 +500,9 @@
             way = Tiers(shape, Path(folder)) if "tiers" in kind else Old(shape)
             try:
                 told = await Run(way, size, "light" in kind, say).play(brief)
+            except (ChildError, LimitError, TierError) as error:
+                say(f"{kind} {size}: no result: {error}")
+                continue
             finally:
                 await way.close()
         told["kind"] = kind
