--- a/larkcrank/lab/processes.py
+++ b/larkcrank/lab/processes.py
@@ -32,7 +32,8 @@
     """A process did not start, or ended by itself; the message holds its last log lines."""
 
 
-def _end_with_parent() -> None:
+def end_with_parent() -> None:
+    """Called in a child: the kernel ends it when its parent ends."""
     _libc.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
@@ -108,7 +109,7 @@
             stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.PIPE,
-            preexec_fn=_end_with_parent,
+            preexec_fn=end_with_parent,
         )
         self.lives += 1
         ready = self._await("ready")
