--- a/larkcrank/lab/scale/way_report.py
+++ b/larkcrank/lab/scale/way_report.py
@@ -98,9 +98,17 @@
     return _table(head, rows)
 
 
+def _most(ones: list[dict[str, float]], key: str, unit: int) -> str:
+    """The highest; a dash where the run did not count it."""
+    found = [one[key] for one in ones if key in one]
+    return f"{max(found) / unit:.1f}" if found else "-"
+
+
 def processes(runs: list[dict[str, Any]]) -> str:
     rows = []
     for run in runs:
+        if run["kind"] == "light-tiers":
+            continue  # the same processes as below hollow sidecars
         for phase in run["phases"]:
             by_kind: dict[str, list[dict[str, float]]] = {}
             for name, one in phase["tiers"].items():
@@ -113,9 +121,9 @@
                         f"{kind} ({len(ones)})",
                         f"{100 * max(one['core'] for one in ones):.1f}%",
                         f"{max(one['mib'] for one in ones):.0f}",
-                        f"{max(one.get('bytes_out_per_s', 0) for one in ones) / 1024:.1f}",
-                        f"{max(one.get('bytes_in_per_s', 0) for one in ones) / 1024:.1f}",
-                        f"{max(one.get('calls_per_s', 0) for one in ones):.1f}",
+                        _most(ones, "bytes_out_per_s", 1024),
+                        _most(ones, "bytes_in_per_s", 1024),
+                        _most(ones, "calls_per_s", 1),
                     ]
                 )
     head = ["run", "load", "process", "of a core", "MiB", "KiB/s out", "KiB/s in", "calls a second"]
