Scale: virtual time is repeatable by the seed, the tiers' own draws too

Before, they drew by themselves; one of seven plays of the tests at small size failed without a trace.

--- a/larkcrank/lab/scale/virtual_way.py
+++ b/larkcrank/lab/scale/virtual_way.py
@@ -579,7 +579,9 @@
         log = self.logs.setdefault(name, io.BytesIO())
 
         async def begin() -> None:
-            tier = self.tiers[name] = program.Tier(self._configs[name], Log(name, log))
+            tier = self.tiers[name] = program.Tier(
+                self._configs[name], Log(name, log), Random(self.rng.getrandbits(64))
+            )
             await tier.start()
 
         self.loop.run_until_complete(self.loop.create_task(begin(), context=acting_as(name)))
