Tiers: a look elsewhere makes way for the watch that comes to the same place

Both read from one connection when the current place failed while another was looked at and the next to ask was that one: 'read() called while another coroutine is already waiting', a rest of 1 s, and an answer could be read by the wrong call.

--- a/larkcrank/tiers/feeds.py
+++ b/larkcrank/tiers/feeds.py
@@ -56,6 +56,7 @@
         self._restless_at: float | None = None  # while the current place is stale: when to look elsewhere
         self._turn = 0
         self._probe: asyncio.Task[None] | None = None
+        self._probed: Place | None = None  # where it asks
         self._check: asyncio.Task[None] | None = None
         self._beside: tuple[Place, Asker] | None = None  # for calls while the watch waits
         self._bytes = (0, 0)  # out and in, of those that were closed
@@ -105,7 +106,13 @@
                 better = self._better(loop.time())
                 if self._probe is None and better is not None:
                     self._probe = loop.create_task(self._look(better))
+                    self._probed = better
                 place = self.places.current
+                if self._probe is not None and self._probed == place:
+                    # One connection a place: the look makes way for the watch that has come there.
+                    self._probe.cancel()
+                    await asyncio.gather(self._probe, return_exceptions=True)
+                    self._probe = None
                 good = await self._ask(place)
                 if place != self.places.current:
                     continue  # back at home meanwhile
