Failing test: a late answer on a kept connection is taken for the next request's

After one answer in five an endpoint sends a further one that nobody asked for: a copy 10, 50 or 300 ms later, a rejection 10 or 50 ms later, the answer to another request 50 ms later.

The fleet bench learns the fault (stray), and its ledger three checks that it did not have: a keyed request within its group and window, the deadline told to an endpoint, attempts within the send cap.

--- a/larkcrank/lab/bench.py
+++ b/larkcrank/lab/bench.py
@@ -24,7 +24,7 @@
 from larkcrank.core.interface import RequestClass
 from larkcrank.lab import rules
 from larkcrank.lab.clients import Clients
-from larkcrank.lab.endpoints import Endpoint, IdempotencyKeys
+from larkcrank.lab.endpoints import Endpoint, IdempotencyKeys, StrayAnswers
 from larkcrank.lab.ledger import Ledger
 from larkcrank.lab.links import DatagramRelay, Link, LinkDirection, open_datagram_relays
 from larkcrank.lab.processes import ProcessError, SidecarProcess
@@ -190,6 +190,7 @@
             decisions.only_draining_binds,
             decisions.key_quiet_ms / 1000.0,
             decisions.second_copies,
+            decisions.max_attempts,
         )
 
     def _build(self) -> None:
@@ -495,6 +496,12 @@
             case "crowd":
                 self._slow_down(endpoints, fault.times)
                 return lambda: self._slow_down(endpoints, 1.0)
+            case "stray":
+                stray = StrayAnswers(
+                    fault.share, fault.delay_ms / 1000.0, fault.jitter_ms / 1000.0, fault.answer
+                )
+                self._set_stray_answers(endpoints, stray)
+                return lambda: self._set_stray_answers(endpoints, None)
             case "drain":
                 await self._apply_to_each(fault, endpoints, self._drain_endpoint)
             case "replace":
@@ -525,6 +532,11 @@
         for endpoint in endpoints:
             endpoint.slowdown = slowdown
 
+    @staticmethod
+    def _set_stray_answers(endpoints: list[Endpoint], stray: StrayAnswers | None) -> None:
+        for endpoint in endpoints:
+            endpoint.stray_answers = stray
+
     @staticmethod
     def _resume(children: list[SidecarProcess]) -> None:
         for child in children:
--- a/larkcrank/lab/endpoints.py
+++ b/larkcrank/lab/endpoints.py
@@ -20,6 +20,8 @@
 from larkcrank.lab.scenario import EndpointSettings
 from larkcrank.protocol import http1
 
+DECLINED_LINE = b"Srv-Declined: 1"  # proves that the endpoint did not run the request
+
 
 def excess_in_sqrt_units(calls: float, allowed: float) -> float:
     """Return by how many square roots of `allowed` the number of calls exceeds it."""
@@ -51,6 +53,25 @@
         return True
 
 
+@dataclass(slots=True, frozen=True)
+class StrayAnswers:
+    """Answers that an endpoint sends although nobody asked for them, some time after a true answer."""
+
+    share: float  # of the true answers that a stray one follows
+    delay_s: float
+    jitter_s: float
+    answer: str  # copy, other or rejection, as in `scenario.Fault`
+
+    def encode(self, answer: bytes) -> bytes:
+        """Return the stray answer that follows the true `answer`."""
+        match self.answer:
+            case "other":
+                return http1.encode_response(200, (), b"did what nobody asked for")
+            case "rejection":
+                return http1.encode_response(503, (DECLINED_LINE,), b"")
+        return answer
+
+
 @dataclass(slots=True)
 class _QueuedRequest:
     """A request that an endpoint has accepted, with the work that it takes at full speed."""
@@ -84,6 +105,7 @@
         self.address_index = 0  # index into each link's `ports` of the current port
         self.started_at: float | None = None  # on the run's clock; None: warm since before the run
         self.slowdown = 1.0  # factor by which a crowd fault slows it down
+        self.stray_answers: StrayAnswers | None = None
         self.collapsed = False  # it crashed because of overload while cold
         self.most_connections = 0
         self.declined = 0
@@ -145,7 +167,7 @@
         """Queue a request, or decline it if the endpoint is not ready or its queue is full."""
         if self.state != "Ready" or len(self._waiting) >= self._settings.queue:
             self.declined += 1
-            queued.connection.answer(queued, 503, (b"Srv-Declined: 1",), b"")
+            queued.connection.answer(queued, 503, (DECLINED_LINE,), b"")
             return
         mean_ms = self._settings.service_ms
         service_ms = mean_ms if self._settings.spread == "fixed" else self._rng.expovariate(1.0 / mean_ms)
@@ -196,14 +218,24 @@
                 queued.work_ms / 1000.0 / max(self.speed(), 1e-3), self._finish, queued, self._incarnation
             )
 
+    def group_of(self, cls: RequestClass) -> str:
+        """Return the group within which repeats of a request of this class are dropped."""
+        return {Group.ALL: "all", Group.ZONE: self.zone, Group.CELL: str(self.index)}[cls.group]
+
+    def draw_stray_answer(self, answer: bytes) -> tuple[float, bytes] | None:
+        """Return delay (seconds) and text of the stray answer that follows `answer`, or None."""
+        stray = self.stray_answers
+        if stray is None or self._rng.random() >= stray.share:
+            return None
+        return stray.delay_s + self._rng.random() * stray.jitter_s, stray.encode(answer)
+
     def _finish(self, queued: _QueuedRequest, incarnation: int) -> None:
         if incarnation != self._incarnation:
             return
         self._busy_workers -= 1
         cls, now = queued.cls, self._ledger.now()
-        dedup_group = {Group.ALL: "all", Group.ZONE: self.zone, Group.CELL: str(self.index)}[cls.group]
         is_keyed = cls.effect is Effect.KEYED
-        if not is_keyed or self._keys.add_if_new(dedup_group, queued.key, now, cls.window_ms / 1000.0):
+        if not is_keyed or self._keys.add_if_new(self.group_of(cls), queued.key, now, cls.window_ms / 1000.0):
             self._ledger.effects.append(CompletedWork(now, queued.attempt.request, queued.key, self.name))
         queued.connection.answer(queued, 200, (), queued.body)
         self._start_queued()
@@ -250,7 +282,15 @@
                 attempt.ended_at = self._endpoint._ledger.now()
                 self._open_attempts.remove(attempt)
 
-        self.link.write(http1.encode_response(status, lines, body), record_answer_delivered)
+        encoded_answer = http1.encode_response(status, lines, body)
+        self.link.write(encoded_answer, record_answer_delivered)
+        if (stray_answer := self._endpoint.draw_stray_answer(encoded_answer)) is not None:
+            delay_s, text = stray_answer
+            asyncio.get_running_loop().call_later(delay_s, self._write_stray_answer, text)
+
+    def _write_stray_answer(self, text: bytes) -> None:
+        self._endpoint._ledger.stray_answers += 1
+        self.link.write(text)
 
     def _handle_request(self, request: http1.Request) -> None:
         endpoint, ledger = self._endpoint, self._endpoint._ledger
@@ -262,6 +302,10 @@
             sidecar = int(id_prefix)
         attempt = Attempt(request_id, sidecar, endpoint.name, self._entered_at, ledger.now())
         attempt.new_connection = self._is_new
+        if cls is not None:
+            attempt.group = endpoint.group_of(cls)
+        attempt.entered_late = self.link.entered_late
+        attempt.told_s = float(request.fields.get_single(b"req-deadline") or -1.0)
         ledger.attempts.append(attempt)
         self._open_attempts.append(attempt)
         handshake_ms = endpoint._settings.handshake_ms if self._is_new else 0.0
--- a/larkcrank/lab/ledger.py
+++ b/larkcrank/lab/ledger.py
@@ -42,6 +42,9 @@
     ended_at: float = -1.0  # when the last response byte reached the sidecar, or the connection ended
     status: int = 0
     new_connection: bool = False  # it was the first request on its connection
+    group: str = ""  # the endpoints of one group drop repeats of an idempotency key together
+    told_s: float = -1.0  # the deadline that the sidecar passed on, in seconds; -1 if none
+    entered_late: bool = False  # it was written before `entered_at`, which a cut delayed
 
 
 class Effect(msgspec.Struct, tag="effect"):
@@ -84,6 +87,7 @@
         self.worst_cold_windows: dict[str, tuple[float, float]] = {}
         self.connections = 0  # connections opened to endpoints
         self.datagrams = 0
+        self.stray_answers = 0  # answers that endpoints sent although nobody asked for them
         self._started_at = time.monotonic()
 
     def restart_clock(self) -> None:
--- a/larkcrank/lab/links.py
+++ b/larkcrank/lab/links.py
@@ -146,9 +146,10 @@
     def __init__(self, link: "Link") -> None:
         self.link = link
         self.entered_at = 0.0  # when the latest bytes from the sidecar entered the link
+        self.entered_late = False  # a cut kept them in the sidecar's kernel, so they were written earlier
         self._handler: ConnectionHandler | None = None
         self._transport: asyncio.Transport | None = None
-        self._reading_paused = False
+        self._reading_paused = self._was_paused = False
         self._to_handler = _DelayedStream(link.forward, self._deliver_to_handler, self._end_handler)
         self._to_sidecar = _DelayedStream(
             link.backward, self._deliver_to_sidecar, self._close_sidecar_connection
@@ -169,6 +170,7 @@
         )
         self._awaiting_first_bytes = False
         self.entered_at = self.link.now()
+        self.entered_late, self._was_paused = self._was_paused, False
         self._to_handler.send(data, extra_s=handshake_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -191,7 +193,7 @@
         """Apply the link's current faults to this connection."""
         if self._transport is not None and not self._transport.is_closing():
             if self.link.forward.cut and not self._reading_paused:
-                self._reading_paused = True
+                self._reading_paused = self._was_paused = True
                 self._transport.pause_reading()
             elif self._reading_paused and not self.link.forward.cut:
                 self._reading_paused = False
--- a/larkcrank/lab/rules.py
+++ b/larkcrank/lab/rules.py
@@ -7,23 +7,28 @@
 """
 
 import itertools
+import math
 from collections import defaultdict
 from collections.abc import Iterable
 
 import msgspec
 
-from larkcrank.core.interface import Effect, RequestClass
+from larkcrank.core.interface import Effect, Group, RequestClass
 from larkcrank.lab.ledger import Ask, Attempt, Ledger
 
 DEADLINE_GRACE_S = 0.07  # 20 ms that the settings allow after a deadline, plus 50 ms for the sockets
 
+TOLD_DEADLINE_SLACK_S = 0.15  # by which the deadline told to an endpoint may exceed what the client has left
+
 LATEST_OVERLAP_S = 10.0  # requests that start this long after a request ended are not compared with it
 
 
 class Breach(msgspec.Struct, frozen=True):
     """One violation of a rule, as it is written to the result file."""
 
-    rule: str  # lost, late, after, invented, twice, resent, refused, copies, drain, cold, order, malformed
+    # One of lost, late, after, invented, twice, resent, refused, copies, group, deadline, budget, drain,
+    # cold, order and malformed.
+    rule: str
     at: float  # seconds since the start of the load
     who: str  # the sidecar or endpoint, e.g. `sidecar 3`
     text: str
@@ -76,6 +81,7 @@
     terminating_only: bool = False,
     unanswered_hold_s: float = 0.0,
     allow_second_copies: bool = False,
+    max_attempts: float = math.inf,
 ) -> list[Breach]:
     """Returns every breach, ordered by time.
 
@@ -83,6 +89,7 @@
     `slack_s`: the measurement error of the bench. `terminating_only`: the drain rule applies only to the
     state `Terminating`. `unanswered_hold_s`: how long an ordering key stays blocked after an
     attempt without an answer. `allow_second_copies`: a request may have two attempts in flight.
+    `max_attempts`: how many attempts a request may have.
     """
     outages = SidecarOutages(ledger)
     asks_by_id = {ask.id: ask for ask in ledger.asks}
@@ -93,6 +100,9 @@
         *_answer_breaches(ledger.asks, attempts_by_request, outages, slack_s),
         *_effect_breaches(ledger, asks_by_id, classes),
         *_attempt_breaches(asks_by_id, attempts_by_request, classes, outages, slack_s, allow_second_copies),
+        *_keyed_breaches(asks_by_id, attempts_by_request, classes, slack_s),
+        *_deadline_breaches(asks_by_id, attempts_by_request, outages, slack_s),
+        *_budget_breaches(asks_by_id, attempts_by_request, max_attempts),
         *_drain_breaches(ledger, outages, grace_s + slack_s, terminating_only),
         *_order_breaches(ledger.asks, attempts_by_request, classes, outages, slack_s, unanswered_hold_s),
     ]
@@ -171,7 +181,11 @@
             yield Breach("twice", effect.at, f"sidecar {ask.sidecar}", description)
         effect_at.setdefault(operation, effect.endpoint)
     for ask in asks_by_id.values():
-        if ask.status in (429, 503) and ask.id in executed_ids and classes[ask.cls].effect is Effect.UNSAFE:
+        request_class = classes[ask.cls]
+        must_not_be_refused = request_class.effect is Effect.UNSAFE or (
+            request_class.effect is Effect.KEYED and request_class.group is not Group.ALL
+        )
+        if ask.status in (429, 503) and ask.id in executed_ids and must_not_be_refused:
             yield Breach(
                 "refused", ask.ended_at, f"sidecar {ask.sidecar}", f"{ask.id} was refused although it had run"
             )
@@ -210,6 +224,76 @@
                 )
 
 
+def _keyed_breaches(
+    asks_by_id: dict[str, Ask],
+    attempts_by_request: dict[str, list[Attempt]],
+    classes: dict[str, RequestClass],
+    slack_s: float,
+) -> Iterable[Breach]:
+    """Rule 2: a keyed request that may have run is sent again only within its group and its window."""
+    for request_id, request_attempts in attempts_by_request.items():
+        ask = asks_by_id.get(request_id)
+        if ask is None or classes[ask.cls].effect is not Effect.KEYED or ask.resent:
+            continue
+        window_s = classes[ask.cls].window_ms / 1000.0 + slack_s
+        first_possible_run: Attempt | None = None
+        for attempt in request_attempts:
+            if first_possible_run is not None and (
+                attempt.group != first_possible_run.group
+                or attempt.entered_at > first_possible_run.entered_at + window_s
+            ):
+                description = f"{request_id} ({ask.cls}) sent to {first_possible_run.endpoint}, then outside"
+                yield Breach(
+                    "group",
+                    attempt.entered_at,
+                    f"sidecar {ask.sidecar}",
+                    f"{description} its group or window to {attempt.endpoint}",
+                )
+            if attempt.status != 503 and first_possible_run is None:
+                first_possible_run = attempt
+
+
+def _deadline_breaches(
+    asks_by_id: dict[str, Ask],
+    attempts_by_request: dict[str, list[Attempt]],
+    outages: SidecarOutages,
+    slack_s: float,
+) -> Iterable[Breach]:
+    """Rule 1: an endpoint is told no later deadline than the client's."""
+    for request_id, request_attempts in attempts_by_request.items():
+        ask = asks_by_id.get(request_id)
+        for attempt in request_attempts if ask is not None and not ask.resent else ():
+            assert ask is not None
+            left_s = ask.asked_at + ask.deadline - attempt.entered_at
+            allowed_s = max(left_s, 0.0) + TOLD_DEADLINE_SLACK_S + slack_s
+            if attempt.entered_late:
+                continue
+            if attempt.told_s > allowed_s and not outages.overlaps_outage(
+                ask.sidecar, ask.sent_at, attempt.entered_at
+            ):
+                yield Breach(
+                    "deadline",
+                    attempt.entered_at,
+                    f"sidecar {ask.sidecar}",
+                    f"{request_id} had {left_s:.3f} s left, {attempt.endpoint} was told {attempt.told_s:.3f}",
+                )
+
+
+def _budget_breaches(
+    asks_by_id: dict[str, Ask], attempts_by_request: dict[str, list[Attempt]], max_attempts: float
+) -> Iterable[Breach]:
+    """Rule 6: a request has no more attempts than the settings allow."""
+    for request_id, request_attempts in attempts_by_request.items():
+        ask = asks_by_id.get(request_id)
+        if ask is not None and not ask.resent and len(request_attempts) > max_attempts:
+            yield Breach(
+                "budget",
+                request_attempts[-1].entered_at,
+                f"sidecar {ask.sidecar}",
+                f"{request_id} had {len(request_attempts)} attempts",
+            )
+
+
 def _drain_breaches(
     ledger: Ledger, outages: SidecarOutages, grace_s: float, terminating_only: bool
 ) -> Iterable[Breach]:
--- a/larkcrank/lab/scenario.py
+++ b/larkcrank/lab/scenario.py
@@ -19,8 +19,9 @@
 # "restart" apply to endpoints and discovery too.
 PROCESS_FAULTS = ("kill", "stop", "continue", "end", "restart")
 # Faults of endpoints: silence (cut off from all sidecars), crowd (slowed down), drain (announced as
-# terminating), replace (by an endpoint with a new name).
-ENDPOINT_FAULTS = ("silence", "crowd", "drain", "replace")
+# terminating), replace (by an endpoint with a new name), stray (after an answer, a further one that nobody
+# asked for).
+ENDPOINT_FAULTS = ("silence", "crowd", "drain", "replace", "stray")
 # Faults of discovery:
 #   hush: no answers                               deny: answers with 503
 #   drag: calls for the whole list take longer     lag: out-of-date lists
@@ -36,6 +37,7 @@
     "reorder": ("share",),
     "narrow": ("bytes_per_s",),
     "crowd": ("times",),
+    "stray": ("share",),
     "drag": ("work_ms",),
     "lag": ("by",),
 }
@@ -113,8 +115,11 @@
     last: float = math.inf  # duration in seconds
     delay_ms: float = 0.0
     jitter_ms: float = 0.0
-    share: float = 0.0  # of segments or datagrams that are lost, duplicated or reordered
+    share: float = 0.0  # of segments or datagrams that are lost, duplicated or reordered; of stray answers
     bytes_per_s: float = 0.0
+    # stray: a copy of the answer, the answer to a request that nobody sent, or a rejection. It comes
+    # `delay_ms` and up to `jitter_ms` after the true answer.
+    answer: Literal["copy", "other", "rejection"] = "copy"
     times: float = 0.0  # crowd: factor by which endpoints slow down
     work_ms: float = 0.0  # drag: time per call for the whole list
     by: float = 0.0  # lag: seconds by which served lists are out of date
