Reasons for each close, retry, refusal and failure; the last 64 attempts on SIGUSR1

Connections to endpoints have a number now and count the requests that they carried; closes, retries, refusals and failures are counted by reason; SIGUSR1 logs the last 64 attempts with request id, connection number and place on it.

--- a/larkcrank/program/counters.py
+++ b/larkcrank/program/counters.py
@@ -3,6 +3,7 @@
 from dataclasses import asdict, dataclass, field
 
 from larkcrank.core.interface import Result
+from larkcrank.transport.closing import CloseReason
 
 
 @dataclass(slots=True)
@@ -29,11 +30,42 @@
     operators_calls: int = 0
     crashed: int = 0  # unexpected exceptions
     outcomes: dict[str, int] = field(default_factory=lambda: {result.value: 0 for result in Result})
+    closes: dict[str, int] = field(default_factory=dict)  # connections to endpoints closed, by reason
+    # By the result of the attempt before, or "unsent":
+    retries: dict[str, int] = field(default_factory=dict)  # attempts beyond a request's first
+    refusals: dict[str, int] = field(default_factory=dict)  # requests in `refused`
+    failures: dict[str, int] = field(default_factory=dict)  # requests in `failed`
 
     def outcome(self, result: Result) -> None:
         """Count the result of one attempt."""
         self.outcomes[result.value] += 1
 
+    def close(self, reason: CloseReason) -> None:
+        """Count a closed connection to an endpoint."""
+        _increment(self.closes, reason.value)
+
+    def retry(self, last_result: Result | None) -> None:
+        """Count a further attempt of a request whose last attempt ended like this."""
+        _increment(self.retries, _reason_of(last_result))
+
+    def refusal(self, last_result: Result | None) -> None:
+        """Count a refused request by how its last attempt ended."""
+        self.refused += 1
+        _increment(self.refusals, _reason_of(last_result))
+
+    def failure(self, last_result: Result | None) -> None:
+        """Count a request answered with another error by how its last attempt ended."""
+        self.failed += 1
+        _increment(self.failures, _reason_of(last_result))
+
     def as_dict(self) -> dict[str, object]:
         """Return the counters by name, as fields of a log event."""
         return asdict(self)
+
+
+def _increment(counts: dict[str, int], key: str) -> None:
+    counts[key] = counts.get(key, 0) + 1
+
+
+def _reason_of(last_result: Result | None) -> str:
+    return "unsent" if last_result is None else last_result.value
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -366,12 +366,18 @@
         fleet_counters = {} if self._fleet_member is None else self._fleet_member.counters()
         self.log.event("counters", **self.counters.as_dict(), **fleet_counters)
 
+    def log_diagnostics(self) -> None:
+        """Log the most recent attempts in one event, if there were any, and all counters in another."""
+        if attempts := self._servers.recent_attempts.as_list():
+            self.log.event("attempts", recent=attempts)
+        self.log_counters()
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully. Raises OSError if listening fails."""
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.request_shutdown)
-        loop.add_signal_handler(signal.SIGUSR1, self.log_counters)
+        loop.add_signal_handler(signal.SIGUSR1, self.log_diagnostics)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         # SIGHUP has been blocked since before the configuration was read.
         signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
--- a/larkcrank/routing/driver.py
+++ b/larkcrank/routing/driver.py
@@ -54,8 +54,6 @@
 
     taken: int
     served: int
-    refused: int
-    failed: int
     clients_gone: int
     gone_before_send: int
     overdue: int
@@ -64,6 +62,12 @@
 
     def outcome(self, result: Result) -> None: ...
 
+    def retry(self, last_result: Result | None) -> None: ...
+
+    def refusal(self, last_result: Result | None) -> None: ...
+
+    def failure(self, last_result: Result | None) -> None: ...
+
 
 class EventLog(Protocol):
     """The log that the driver writes its events to."""
@@ -300,6 +304,8 @@
             self._event_log.event("not_carried_out", action="Send")
             return
         attempt_index = exchange.attempt_count
+        if attempt_index:
+            self._counters.retry(exchange.last_result)
         exchange.attempt_count += 1
         stop_at_ms = min(action.stop_at_ms or exchange.deadline, exchange.deadline)
         self._attempt_executor.start_attempt(
@@ -312,9 +318,9 @@
         """Respond with an error status and `outcome_text` ("refused" or "failed") as the body."""
         self._remove_exchange(exchange)
         if outcome_text == "refused":
-            self._counters.refused += 1
+            self._counters.refusal(exchange.last_result)
         else:
-            self._counters.failed += 1
+            self._counters.failure(exchange.last_result)
         elapsed_ms = self._clock() - exchange.arrived_at
         # Counts requests that were never fully sent although more than half of their time had passed.
         if not exchange.written_attempts and elapsed_ms > (exchange.deadline - exchange.arrived_at) / 2:
--- a/larkcrank/routing/exchange.py
+++ b/larkcrank/routing/exchange.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from larkcrank.core.interface import Result
 from larkcrank.protocol import http1
 from larkcrank.protocol.platform import CallInfo
 from larkcrank.transport.budget import BufferBudget
@@ -161,6 +162,7 @@
     key: int = 0  # The request's subject key, where requests are ordered or routed by it; 0 if there is none.
     attempt_count: int = 0  # Number of attempts that the balancer has ordered.
     written_attempts: int = 0  # Number of attempts whose last byte was passed to the kernel.
+    last_result: Result | None = None  # How the latest attempt that ended has ended.
     closed: bool = False  # Whether the final response was set or the client has disconnected.
     abandoned: bool = False  # Whether the client disconnected before the final response.
     _response: asyncio.Future[BufferedResponse | StreamedResponse] = field(
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -10,7 +10,9 @@
 from larkcrank.protocol import http1, platform
 from larkcrank.protocol.discovery import ListUpdate
 from larkcrank.routing.exchange import Exchange, Upload
+from larkcrank.routing.trace import AttemptRecord, RecentAttempts
 from larkcrank.transport.budget import BufferBudget
+from larkcrank.transport.closing import CloseReason
 from larkcrank.transport.connection import (
     Connection,
     ConnectionLostError,
@@ -35,6 +37,8 @@
     reuses: int
     crashed: int
 
+    def close(self, reason: CloseReason) -> None: ...
+
 
 class Attempt:
     """One attempt at sending a request to an endpoint.
@@ -48,10 +52,12 @@
         "address",
         "begin_by_ms",
         "connection",
+        "connection_number",
         "ended",
         "exchange",
         "fully_written",
         "index",
+        "position",
         "response_started",
         "started_at",
         "timer",
@@ -69,6 +75,8 @@
     ) -> None:
         self.exchange, self.index, self.address, self.started_at = exchange, index, address, started_at
         self.connection: Connection | None = None
+        self.connection_number = 0
+        self.position = 0  # of the request on its connection, from 1
         self.timer: asyncio.TimerHandle | None = None
         self.begin_by_ms = begin_by_ms
         # Whether the first and the last byte of the request were passed to the kernel. Each is set just
@@ -87,7 +95,7 @@
         if self.timer is not None:
             self.timer.cancel()
         if self.connection is not None:  # HTTP/1.1 has no other way to cancel a request.
-            self.connection.close()
+            self.connection.close(CloseReason(result.value))
             self.connection = None
         self._on_end(self, result, load)
 
@@ -126,6 +134,8 @@
         self._ready: set[Address] = set()  # The servers to which requests may be sent.
         self._attempts: dict[tuple[int, int], Attempt] = {}  # By request id and attempt index.
         self._tasks: set[asyncio.Task[None]] = set()
+        self._last_connection_number = 0
+        self.recent_attempts = RecentAttempts()
         self.on_outcome: Callable[[Attempt, Result, tuple[float, ...]], None] = lambda *_: None
         self.on_stream_started: Callable[[Attempt], None] = lambda _: None
         self.on_client_gone: Callable[[Exchange], None] = lambda _: None
@@ -241,6 +251,8 @@
 
     def _attempt_ended(self, attempt: Attempt, result: Result, load: tuple[float, ...]) -> None:
         self._attempts.pop((attempt.exchange.id, attempt.index), None)
+        attempt.exchange.last_result = result
+        self._record(attempt, result)
         past_connect_timeout = self._clock() - attempt.started_at > self._connect_timeout_ms
         unanswered = (
             attempt.fully_written
@@ -256,6 +268,20 @@
             self._pool.close_address(attempt.address)
         self.on_outcome(attempt, result, load)
 
+    def _record(self, attempt: Attempt, result: Result) -> None:
+        self.recent_attempts.add(
+            AttemptRecord(
+                attempt.exchange.call_info.id,
+                attempt.index,
+                attempt.address.hex(),
+                attempt.connection_number,
+                attempt.position,
+                attempt.started_at,
+                self._clock(),
+                result.value,
+            )
+        )
+
     @staticmethod
     def _attempt_timed_out(attempt: Attempt) -> None:
         # Once the first byte is written the result is TIMEOUT, since it is not known here yet whether the
@@ -290,6 +316,8 @@
         # There is no await between the last check and writing the first byte, so the check still holds
         # however long an iteration of the event loop takes.
         exchange = attempt.exchange
+        connection.requests_carried += 1
+        attempt.connection_number, attempt.position = connection.number, connection.requests_carried
         self._counters.sends += 1
         attempt.writing_started = True
         wait_ms = exchange.client_timeout_ms if stop_at_ms == math.inf else stop_at_ms - self._clock()
@@ -403,7 +431,9 @@
         pending_connection = PendingConnection(
             self._host_ports[attempt.address], self._descriptors, SocketUse.ATTEMPT
         )
-        attempt.connection = pending_connection.connection
+        attempt.connection = connection = pending_connection.connection
+        self._last_connection_number += 1
+        connection.number, connection.on_closed = self._last_connection_number, self._counters.close
         return await pending_connection.wait(self._connect_timeout_ms)
 
     async def _relay_stream(
--- /dev/null
+++ b/larkcrank/routing/trace.py
@@ -0,0 +1,34 @@
+"""The most recent attempts, kept in memory so that operators can follow a request through them."""
+
+from collections import deque
+from dataclasses import asdict, dataclass
+
+MAX_RECORDS = 64
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptRecord:
+    """One attempt that has ended. Times are in ms of the process clock."""
+
+    request: str  # its Req-Id
+    attempt: int  # from 0
+    server: str  # address in hexadecimal
+    connection: int  # number of the connection; 0 if there was none
+    position: int  # of the request on its connection, from 1; 0 if there was none
+    started_at: float
+    ended_at: float
+    result: str
+
+
+class RecentAttempts:
+    """The last `MAX_RECORDS` attempts."""
+
+    def __init__(self) -> None:
+        self._records: deque[AttemptRecord] = deque(maxlen=MAX_RECORDS)
+
+    def add(self, record: AttemptRecord) -> None:
+        self._records.append(record)
+
+    def as_list(self) -> list[dict[str, object]]:
+        """Return the records as fields of a log event, oldest first."""
+        return [asdict(record) for record in self._records]
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -5,9 +5,12 @@
 import select
 import socket
 import struct
+from collections.abc import Callable
+from enum import Enum
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from larkcrank.transport.closing import CloseReason
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
 
 READ_CHUNK_BYTES = 64 * 1024
@@ -17,6 +20,14 @@
 POLLRDHUP = int(getattr(select, "POLLRDHUP", 0))
 
 
+class IdleInput(Enum):
+    """What an idle connection has to read."""
+
+    NONE = "none"
+    DATA = "data"
+    END = "end"  # it is closed, or broken
+
+
 class ConnectionLostError(Exception):
     """The connection has ended. `is_clean_close` tells an orderly close by the peer from a failure."""
 
@@ -39,6 +50,9 @@
         self._pending_read: asyncio.Future[bytes] | None = None
         self._closed = False
         self.host_port: tuple[str, int] | None = None  # the remote address of an outgoing connection
+        self.number = 0  # identifies a connection to an endpoint in the log
+        self.requests_carried = 0
+        self.on_closed: Callable[[CloseReason], None] = lambda _: None
 
     @property
     def closed(self) -> bool:
@@ -87,15 +101,22 @@
 
     def is_idle(self) -> bool:
         """Return whether the connection is open and nothing is left to read, neither data nor its end."""
-        if self.closed or (self._pending_read is not None and self._pending_read.done()):
-            return False
+        return self.idle_input() is IdleInput.NONE
+
+    def idle_input(self) -> IdleInput:
+        """Return what can be read from a connection that no request uses."""
+        pending = self._pending_read
+        if pending is not None and pending.done():
+            has_data = not pending.cancelled() and pending.exception() is None
+            return IdleInput.DATA if has_data else IdleInput.END
+        if self.closed:
+            return IdleInput.END
         try:
-            self.stream.socket.recv(1, _PEEK_FLAGS)
+            return IdleInput.DATA if self.stream.socket.recv(1, _PEEK_FLAGS) else IdleInput.END
         except (BlockingIOError, InterruptedError):
-            return True
+            return IdleInput.NONE
         except OSError:
-            pass
-        return False
+            return IdleInput.END
 
     def has_peer_closed(self) -> bool:
         """Return whether the peer has closed the connection, even if the end of its data has not been read.
@@ -120,13 +141,14 @@
         except (AttributeError, OSError):
             return False
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason = CloseReason.UNSPECIFIED) -> None:
         """Close at once and release the descriptor. No other method releases it."""
         if self._closed:
             return
         self._closed = True
         self.stream.close()
         self._descriptors.release(self._use)
+        self.on_closed(reason)
 
     def abort(self) -> None:
         """Close with a TCP reset, so that the peer can't take a partial message for a complete one."""
--- a/larkcrank/transport/pool.py
+++ b/larkcrank/transport/pool.py
@@ -5,7 +5,8 @@
 from collections import OrderedDict
 
 from larkcrank.core.interface import Address
-from larkcrank.transport.connection import Connection
+from larkcrank.transport.closing import CloseReason
+from larkcrank.transport.connection import Connection, IdleInput
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
 
 # The share of the endpoint's keepalive time for which a connection is kept here. The margin keeps the
@@ -29,13 +30,15 @@
     def put(self, address: Address, connection: Connection) -> None:
         """Add an idle connection, which is closed when its idle time limit passes."""
         if connection.closed:
-            connection.close()
+            connection.close(CloseReason.CLOSED_BY_PEER)
             return
-        timer = self._loop.call_later(self._max_idle_s, self._remove_and_close, connection)
+        timer = self._loop.call_later(
+            self._max_idle_s, self._remove_and_close, connection, CloseReason.IDLE_TIME
+        )
         self._idle[connection] = (address, timer)
         # The pending read completes if the endpoint closes the connection or sends unexpected bytes. In both
         # cases the connection can't be reused.
-        connection.start_read().add_done_callback(lambda _: self._remove_and_close(connection))
+        connection.start_read().add_done_callback(lambda _: self._remove_readable(connection))
 
     def take(self, address: Address, host_port: tuple[str, int]) -> Connection | None:
         """Return the most recently used idle connection to an endpoint, or None. The others can then reach
@@ -46,7 +49,11 @@
                 self._idle.pop(connection)[1].cancel()
                 if connection.is_idle() and connection.host_port == host_port:
                     return connection
-                connection.close()
+                connection.close(
+                    CloseReason.SERVER_LEFT
+                    if connection.host_port != host_port
+                    else _reason_of_input(connection.idle_input())
+                )
                 return self.take(address, host_port)
         return None
 
@@ -55,17 +62,22 @@
         for connection in [
             key for key, (pooled_address, _) in self._idle.items() if pooled_address == address
         ]:
-            self._remove_and_close(connection)
+            self._remove_and_close(connection, CloseReason.SERVER_LEFT)
 
     def close(self) -> None:
         for connection in list(self._idle):
-            self._remove_and_close(connection)
+            self._remove_and_close(connection, CloseReason.SHUTDOWN)
 
-    def _remove_and_close(self, connection: Connection) -> None:
+    def _remove_readable(self, connection: Connection) -> None:
+        """Close an idle connection whose read has ended, with data or with the end of the stream."""
+        if connection in self._idle:
+            self._remove_and_close(connection, _reason_of_input(connection.idle_input()))
+
+    def _remove_and_close(self, connection: Connection, reason: CloseReason) -> None:
         entry = self._idle.pop(connection, None)
         if entry is not None:
             entry[1].cancel()
-            connection.close()
+            connection.close(reason)
 
     def _longest_idle_since(self) -> float:
         """Return the loop time at which the longest idle connection became idle, or infinity."""
@@ -76,5 +88,9 @@
     def _close_longest_idle(self) -> bool:
         if not self._idle:
             return False
-        self._remove_and_close(next(iter(self._idle)))
+        self._remove_and_close(next(iter(self._idle)), CloseReason.EVICTED)
         return True
+
+
+def _reason_of_input(idle_input: IdleInput) -> CloseReason:
+    return CloseReason.STRAY_ANSWER if idle_input is IdleInput.DATA else CloseReason.CLOSED_BY_PEER
