Nothing on a kept connection is taken for the answer to a request that it may not be

Cause: HTTP/1.1 matches answers to requests by order alone, and an answer that an endpoint sends although nobody asked for it (a late copy of its last answer, a late rejection) was read as the answer to the next request on that connection; a rejection read there 'proved' that the request had never run.

The fix: (1) an answer equal to an earlier one on its connection is skipped, where answers are known to differ from request to request; the true one is read next. (2) A rejection on a reused connection is no proof: an unsafe request fails, a keyed one stays in its group. (3) Only a 200 leaves its connection free for another request, so no rejection can be followed by a late one, and no attempt stays open beside its successor. (4) An answer with another one behind it, or before its request was written, is not believed on a reused connection. (5) Stray answers are counted and logged with their lateness; the endpoint's connections rest for four times that, are not kept at all beyond 1 s, and with two such endpoints this binds all, for 60 s. (6) Streams, whose answers are passed on unchecked, and until eight different answers are known unsafe and keyed requests, have a new connection.

Not taken: a rest for all.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -157,8 +157,6 @@
 MAX_TURNS_AHEAD = 4  # round-robin turns that a server may use in advance, for keys that prefer it
 HOME_SERVERS = 2  # number of servers that an affinity key prefers
 MIN_UNLISTED_KEPT = 16  # unlisted servers kept: at least this many, or as many as are listed
-# After these results, the server may still be executing the attempt.
-MAY_STILL_RUN = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 
 
 def record_send_result(
@@ -828,7 +826,7 @@
         )
         in_flight = request.in_flight.pop(event.attempt, None) if request is not None else None
         attempt = attempt or in_flight  # not in `_owed_attempts` if the request's body was still arriving
-        quiet_until = self._now + self._settings.key_quiet_ms if event.result in MAY_STILL_RUN else -math.inf
+        quiet_until = self._now + self._settings.key_quiet_ms if event.may_still_run else -math.inf
         if key := self._orphaned_attempts.pop((event.id, event.attempt), 0):
             self._key_queues[key].orphaned_attempts -= 1
             self._extend_quiet_time(self._key_queues[key], key, quiet_until)
@@ -838,7 +836,7 @@
             self._learn_from_outcome(event, attempt, request)
         if request is None or attempt is None:
             return
-        if not event.result.never_ran:
+        if not event.never_ran:
             request.first_possible_run = request.first_possible_run or attempt
         if event.request_answered:
             self._remove_request(event.id)
--- a/larkcrank/core/interface.py
+++ b/larkcrank/core/interface.py
@@ -55,6 +55,10 @@
         return self in (Result.REJECTED, Result.CONNECT_FAILED, Result.NOT_SENT)
 
 
+# After these results, the server may still be executing the attempt.
+_MAY_STILL_RUN = (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
+
+
 @dataclass(slots=True, frozen=True)
 class RequestClass:
     """A kind of request, with its target response time and its worth."""
@@ -175,6 +179,18 @@
     request_answered: bool  # whether the client has received its final answer
     load: tuple[float, ...] = ()  # load figures reported by the server
     can_resend: bool = True  # whether the whole request is still buffered, as another attempt requires
+    # Whether the response may belong to an earlier request on the same connection, so that it proves nothing.
+    is_unproven: bool = False
+
+    @property
+    def never_ran(self) -> bool:
+        """Whether the attempt was certainly not executed."""
+        return self.result.never_ran and not self.is_unproven
+
+    @property
+    def may_still_run(self) -> bool:
+        """Whether the attempt may be executed after its end."""
+        return self.is_unproven or self.result in _MAY_STILL_RUN
 
 
 @dataclass(slots=True, frozen=True)
--- a/larkcrank/program/counters.py
+++ b/larkcrank/program/counters.py
@@ -24,6 +24,7 @@
     sends: int = 0  # attempts that began to write the request to a server
     connects: int = 0  # connections opened for attempts
     reuses: int = 0  # attempts on a pooled connection
+    stray_answers: int = 0  # answers from servers, or beginnings of such, that no request had asked for
     lists: int = 0  # server lists received from discovery
     discovery_calls: int = 0
     discovery_failures: int = 0
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -76,6 +76,7 @@
             self.counters,
             log.log_exception,
             site.decisions.only_draining_binds,
+            log.event,
         )
         self._names = NameTable(list(site.zones), list(site.kinds))
         self._discovery = DiscoveryClient(
--- a/larkcrank/protocol/http1.py
+++ b/larkcrank/protocol/http1.py
@@ -403,6 +403,17 @@
         """Whether bytes follow the response. The connection can't be reused then."""
         return bool(self._buffer)
 
+    def take_extra_bytes(self) -> bytes:
+        """Return and remove the bytes that follow the response."""
+        extra_bytes = bytes(self._buffer)
+        self._buffer.clear()
+        return extra_bytes
+
+    def content_digest(self) -> int:
+        """Return a number that is equal for responses with equal status and body, in this process only."""
+        assert self.head is not None
+        return hash((self.head.status, bytes(self._body)))
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes. Raises `MessageError` if the response is invalid."""
         self._buffer += data
@@ -457,6 +468,14 @@
         self.head = ResponseHead(status, fields, keep_alive and not until_close, content_length)
 
 
+_RESPONSE_START = b"HTTP/"
+
+
+def may_begin_response(data: bytes) -> bool:
+    """Return whether `data` is the beginning of a response, as far as it goes."""
+    return data[: len(_RESPONSE_START)] == _RESPONSE_START[: len(data)]
+
+
 CHUNKED_LINE = b"Transfer-Encoding: chunked"
 
 
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -501,6 +501,7 @@
             if request.is_complete
             else math.inf,
             streaming=request_class.streaming,
+            effect=request_class.effect,
             tenant_index=self._tenants.get(call_info.owner, 0),
             upload=None if request.is_complete else Upload(request.body, self._budget),
             client_timeout_ms=timeout_ms,
--- a/larkcrank/routing/driver.py
+++ b/larkcrank/routing/driver.py
@@ -216,6 +216,7 @@
                 exchange.closed,
                 load,
                 can_resend=exchange.upload is None or exchange.upload.can_resend,
+                is_unproven=attempt.is_unproven,
             )
         )
 
--- a/larkcrank/routing/exchange.py
+++ b/larkcrank/routing/exchange.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from larkcrank.core.interface import Result
+from larkcrank.core.interface import Effect, Result
 from larkcrank.protocol import http1
 from larkcrank.protocol.platform import CallInfo
 from larkcrank.transport.budget import BufferBudget
@@ -157,6 +157,7 @@
     deadline: float  # In ms of the process clock.
     streaming: bool  # Whether responses of the request's class are streamed.
     tenant_index: int = 0
+    effect: Effect = Effect.SAFE
     upload: Upload | None = None  # The body, if it is forwarded while it is still being received.
     client_timeout_ms: float = 0.0  # How long the client waits, counted from the last byte of the request.
     key: int = 0  # The request's subject key, where requests are ordered or routed by it; 0 if there is none.
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import Protocol
 
-from larkcrank.core.interface import Address, Result, State
+from larkcrank.core.interface import Address, Effect, Result, State
 from larkcrank.protocol import http1, platform
 from larkcrank.protocol.discovery import ListUpdate
 from larkcrank.routing.exchange import Exchange, Upload
@@ -21,6 +21,7 @@
 )
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
 from larkcrank.transport.pool import ConnectionPool
+from larkcrank.transport.reuse import CarriedAnswer, ReuseGuard
 
 # An endpoint that does not accept one part of a body within this time is treated as failed.
 BODY_WRITE_TIMEOUT_S = 10.0
@@ -36,6 +37,7 @@
     connects: int
     reuses: int
     crashed: int
+    stray_answers: int
 
     def close(self, reason: CloseReason) -> None: ...
 
@@ -57,8 +59,10 @@
         "exchange",
         "fully_written",
         "index",
+        "is_unproven",
         "position",
         "response_started",
+        "skipped_answer",
         "started_at",
         "timer",
         "writing_started",
@@ -85,8 +89,14 @@
         self.fully_written = False
         self.response_started = False  # Whether a streamed response has started.
         self.ended = False
+        self.is_unproven = False  # Whether the response may belong to an earlier request.
+        self.skipped_answer = False  # Whether an answer was taken for a copy of an earlier one.
         self._on_end = on_end
 
+    @property
+    def is_on_reused_connection(self) -> bool:
+        return self.position > 1
+
     def end(self, result: Result, load: tuple[float, ...] = ()) -> None:
         """End the attempt with `result` and the endpoint's load report. Later calls do nothing."""
         if self.ended:
@@ -115,8 +125,12 @@
         counters: ServerCounters,
         report_failure: Callable[[str, BaseException], None],
         only_draining_binds: bool = False,
+        report_event: Callable[..., None] = lambda *_, **__: None,
     ) -> None:
         self._pool = pool
+        self._reuse_guard = ReuseGuard()
+        self._report_event = report_event
+        pool.on_stray_answer = self._stray_answer_at_rest
         # If set, only a drain stops requests to a server. A server that is missing from the list, or listed
         # as gone, is still used.
         self._only_draining_binds = only_draining_binds
@@ -170,6 +184,7 @@
             ):
                 # The address now belongs to another process; connections to the old one cannot be reused.
                 self._pool.close_address(address)
+                self._reuse_guard.forget(address)
             self._ready.add(address)
             self._started_at[address] = endpoint.started_at
             if host_port is not None:
@@ -253,6 +268,9 @@
         self._attempts.pop((attempt.exchange.id, attempt.index), None)
         attempt.exchange.last_result = result
         self._record(attempt, result)
+        if attempt.skipped_answer and result is Result.TIMEOUT:
+            # No other answer has come, so the skipped one was no copy.
+            self._reuse_guard.record_no_copy(attempt.exchange.class_index)
         past_connect_timeout = self._clock() - attempt.started_at > self._connect_timeout_ms
         unanswered = (
             attempt.fully_written
@@ -385,15 +403,28 @@
         """Read the response, pass it to the client side and end the attempt. A successful response that is
         long, or of a streaming class, is passed on in parts.
         """
-        exchange, address = attempt.exchange, attempt.address
+        exchange = attempt.exchange
         parser = http1.ResponseParser(math.inf if exchange.streaming else self._max_body)
-        while parser.head is None:
-            parser.feed(await connection.read())
+        while await self._skip_copy(attempt, connection, parser):
+            extra_bytes = parser.take_extra_bytes()
+            parser = http1.ResponseParser(self._max_body)
+            parser.feed(extra_bytes)
+        assert parser.head is not None
         result = platform.classify_response(parser.head)
+        if result is Result.OK and attempt.is_on_reused_connection and not attempt.fully_written:
+            # A request runs once its last byte has come, so this is the answer to an earlier one.
+            self._stray_answer(attempt.address, connection, 0.0, "before the request", exchange)
+            connection.abort(CloseReason.STRAY_ANSWER)
+            attempt.end(Result.RESET)
+            return
         if send_task is not None and not send_task.done():
             # The endpoint responds before it has read everything: it gets no more data, and the connection is
             # not reused.
             send_task.cancel()
+        # On a new connection the first response is the answer to this request. On a reused one it may be a
+        # stray answer, while the endpoint still runs this request.
+        may_be_stray = attempt.is_on_reused_connection and attempt.fully_written
+        attempt.is_unproven = may_be_stray and result is not Result.OK
         is_long = (parser.head.content_length or 0) > http1.MAX_BUFFERED_BODY_BYTES
         if result is not Result.OK and is_long:
             attempt.end(result)
@@ -413,16 +444,108 @@
         if not parser.complete:
             attempt.end(result)  # The rest of a long error response is not needed.
             return
-        response = parser.response()
-        if response.keep_alive and (send_task is None or attempt.fully_written):
-            attempt.connection = None
-            self._pool.put(address, connection)
+        if parser.has_extra_bytes and not self._may_believe(attempt, connection, parser):
+            attempt.end(Result.RESET)
+            return
+        digest, response = parser.content_digest(), parser.response()
         if result is Result.OK:
+            self._remember_answer(attempt, connection, digest, bool(response.body))
+            # An endpoint that reports a failure may still run the request, so only a success leaves the
+            # connection free for another one.
+            if response.keep_alive and (send_task is None or attempt.fully_written):
+                self._keep(attempt, connection)
             exchange.respond(200, response.fields.forwarded_lines(), response.body)
         attempt.end(result, platform.read_load_report(response.fields, self._load_fields))
 
+    async def _skip_copy(
+        self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser
+    ) -> bool:
+        """Read a response up to its head and, on a reused connection, up to its end if it is short. Return
+        whether it is a copy of an earlier answer on this connection, so that the next one has to be read.
+        """
+        while parser.head is None:
+            parser.feed(await connection.read())
+        is_long = (parser.head.content_length or 0) > http1.MAX_BUFFERED_BODY_BYTES
+        if not attempt.is_on_reused_connection or parser.head.status != 200 or is_long:
+            return False
+        while not parser.complete and parser.buffered_bytes <= http1.MAX_BUFFERED_BODY_BYTES:
+            try:
+                parser.feed(await connection.read())
+            except ConnectionLostError as error:
+                if not error.is_clean_close or not parser.handle_clean_close():
+                    raise
+        earlier = connection.answers.find(parser.content_digest()) if parser.complete else None
+        if earlier is None or not self._reuse_guard.is_copy(earlier, attempt.exchange.request.target):
+            return False
+        attempt.skipped_answer = True
+        self._stray_answer(
+            attempt.address, connection, self._clock() - earlier.arrived_at, "copy", attempt.exchange
+        )
+        return True
+
+    def _may_believe(self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser) -> bool:
+        """Return whether a response that is followed by further bytes is the answer to this request.
+
+        On a reused connection the bytes behind it may be the true answer, unless they repeat it.
+        """
+        extra_bytes = parser.take_extra_bytes()
+        self._stray_answer(attempt.address, connection, 0.0, "behind an answer", attempt.exchange)
+        connection.close(CloseReason.STRAY_ANSWER)
+        if not attempt.is_on_reused_connection or not http1.may_begin_response(extra_bytes):
+            return True
+        extra = http1.ResponseParser(self._max_body)
+        try:
+            extra.feed(extra_bytes)
+        except http1.MessageError:
+            return False
+        return extra.complete and extra.content_digest() == parser.content_digest()
+
+    def _remember_answer(self, attempt: Attempt, connection: Connection, digest: int, has_body: bool) -> None:
+        if has_body:
+            class_index = attempt.exchange.class_index
+            answer = CarriedAnswer(self._clock(), class_index, attempt.exchange.request.target)
+            connection.answers.add(digest, answer)
+            self._reuse_guard.add_answer(class_index, digest, connection.number)
+
+    def _stray_answer_at_rest(self, address: Address, connection: Connection, idle_s: float) -> None:
+        self._stray_answer(address, connection, idle_s * 1000.0, "at rest", None)
+
+    def _stray_answer(
+        self, address: Address, connection: Connection, late_ms: float, where: str, exchange: Exchange | None
+    ) -> None:
+        """Count, log and remember an answer that no request asked for."""
+        self._counters.stray_answers += 1
+        self._reuse_guard.record_stray(address, late_ms, self._clock())
+        self._report_event(
+            "stray_answer",
+            server=address.hex(),
+            connection=connection.number,
+            carried=connection.requests_carried,
+            where=where,
+            late_ms=round(late_ms, 1),
+            request=None if exchange is None else exchange.call_info.id,
+        )
+
+    def _keep(self, attempt: Attempt, connection: Connection) -> None:
+        """Return a connection to the pool, unless its endpoint's connections may not be used again."""
+        attempt.connection = None
+        if self._reuse_guard.required_rest_ms(attempt.address, self._clock()) == math.inf:
+            connection.close(CloseReason.NOT_KEPT)
+        else:
+            self._pool.put(attempt.address, connection)
+
     def _take_pooled(self, attempt: Attempt) -> Connection | None:
-        attempt.connection = self._pool.take(attempt.address, self._host_ports[attempt.address])
+        exchange = attempt.exchange
+        if exchange.streaming:
+            return None  # A stray answer would be passed on before it could be told from the true one.
+        if exchange.effect is not Effect.SAFE and not self._reuse_guard.knows_answers:
+            return None  # A copy of an earlier answer would not be recognized yet.
+        rest_ms = self._reuse_guard.required_rest_ms(attempt.address, self._clock())
+        if rest_ms == math.inf:
+            return None
+        attempt.connection = self._pool.take(
+            attempt.address, self._host_ports[attempt.address], rest_ms / 1000.0
+        )
         self._counters.reuses += attempt.connection is not None
         return attempt.connection
 
@@ -474,9 +597,6 @@
             attempt.end(Result.RESET)
             return
         exchange.end_stream(complete=True)
-        if head.keep_alive and not parser.has_extra_bytes:
-            attempt.connection = None
-            self._pool.put(attempt.address, connection)
         attempt.end(Result.OK, platform.read_load_report(head.fields, self._load_fields))
 
     async def _relay_part(self, exchange: Exchange, data: bytes) -> None:
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -12,6 +12,7 @@
 
 from larkcrank.transport.closing import CloseReason
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
+from larkcrank.transport.reuse import AnswerHistory
 
 READ_CHUNK_BYTES = 64 * 1024
 # The flags are combined once, because combining the enum members costs more than the system call.
@@ -52,6 +53,7 @@
         self.host_port: tuple[str, int] | None = None  # the remote address of an outgoing connection
         self.number = 0  # identifies a connection to an endpoint in the log
         self.requests_carried = 0
+        self.answers = AnswerHistory()
         self.on_closed: Callable[[CloseReason], None] = lambda _: None
 
     @property
@@ -150,12 +152,12 @@
         self._descriptors.release(self._use)
         self.on_closed(reason)
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason = CloseReason.UNSPECIFIED) -> None:
         """Close with a TCP reset, so that the peer can't take a partial message for a complete one."""
         if not self.closed:
             linger = struct.pack("ii", 1, 0)
             self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        self.close()
+        self.close(reason)
 
     def shutdown_write(self) -> None:
         """Close the sending direction only."""
--- a/larkcrank/transport/pool.py
+++ b/larkcrank/transport/pool.py
@@ -3,6 +3,8 @@
 import asyncio
 import math
 from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from larkcrank.core.interface import Address
 from larkcrank.transport.closing import CloseReason
@@ -14,13 +16,22 @@
 MAX_IDLE_SHARE = 0.5
 
 
+@dataclass(slots=True, frozen=True)
+class _IdleEntry:
+    address: Address
+    since_s: float  # when the connection became idle, on the event loop's clock
+    timer: asyncio.TimerHandle  # closes it at its idle time limit
+
+
 class ConnectionPool:
     """Owns idle connections. A caller that takes one owns it until it puts it back or closes it."""
 
     def __init__(self, descriptors: DescriptorBudget, keepalive_ms: float) -> None:
         self._loop = asyncio.get_running_loop()
-        # Address and idle timer of each connection, in the order in which the connections became idle.
-        self._idle: OrderedDict[Connection, tuple[Address, asyncio.TimerHandle]] = OrderedDict()
+        # In the order in which the connections became idle.
+        self._idle: OrderedDict[Connection, _IdleEntry] = OrderedDict()
+        # Called with data that an idle connection received, and how long (s) it had been idle by then.
+        self.on_stray_answer: Callable[[Address, Connection, float], None] = lambda *_: None
         self._max_idle_s = keepalive_ms * MAX_IDLE_SHARE / 1000.0
         descriptors.register_evictor(SocketUse.ATTEMPT, self._close_longest_idle, self._longest_idle_since)
 
@@ -35,54 +46,70 @@
         timer = self._loop.call_later(
             self._max_idle_s, self._remove_and_close, connection, CloseReason.IDLE_TIME
         )
-        self._idle[connection] = (address, timer)
+        self._idle[connection] = _IdleEntry(address, self._loop.time(), timer)
         # The pending read completes if the endpoint closes the connection or sends unexpected bytes. In both
         # cases the connection can't be reused.
-        connection.start_read().add_done_callback(lambda _: self._remove_readable(connection))
+        connection.start_read().add_done_callback(
+            lambda _: self._remove_readable(connection, connection.idle_input())
+        )
 
-    def take(self, address: Address, host_port: tuple[str, int]) -> Connection | None:
-        """Return the most recently used idle connection to an endpoint, or None. The others can then reach
-        their idle time limit.
+    def take(
+        self, address: Address, host_port: tuple[str, int], min_rest_s: float = 0.0
+    ) -> Connection | None:
+        """Return an idle connection to an endpoint that has rested for at least `min_rest_s`, or None.
+
+        Without a minimum it is the most recently used one, so that the others can reach their idle time
+        limit. Otherwise it is the one that has rested longest.
         """
-        for connection in reversed(self._idle):
-            if self._idle[connection][0] == address:
-                self._idle.pop(connection)[1].cancel()
-                if connection.is_idle() and connection.host_port == host_port:
-                    return connection
-                connection.close(
-                    CloseReason.SERVER_LEFT
-                    if connection.host_port != host_port
-                    else _reason_of_input(connection.idle_input())
-                )
-                return self.take(address, host_port)
+        while (connection := self._find(address, min_rest_s)) is not None:
+            if connection.host_port != host_port:
+                self._remove_and_close(connection, CloseReason.SERVER_LEFT)
+            elif (idle_input := connection.idle_input()) is not IdleInput.NONE:
+                self._remove_readable(connection, idle_input)
+            else:
+                self._idle.pop(connection).timer.cancel()
+                return connection
+        return None
+
+    def _find(self, address: Address, min_rest_s: float) -> Connection | None:
+        connections = iter(self._idle) if min_rest_s else reversed(self._idle)
+        for connection in connections:
+            entry = self._idle[connection]
+            if entry.address == address:
+                has_rested = self._loop.time() - entry.since_s >= min_rest_s
+                return connection if has_rested else None
         return None
 
     def close_address(self, address: Address) -> None:
         """Close all idle connections to one endpoint."""
-        for connection in [
-            key for key, (pooled_address, _) in self._idle.items() if pooled_address == address
-        ]:
+        for connection in [key for key, entry in self._idle.items() if entry.address == address]:
             self._remove_and_close(connection, CloseReason.SERVER_LEFT)
 
     def close(self) -> None:
         for connection in list(self._idle):
             self._remove_and_close(connection, CloseReason.SHUTDOWN)
 
-    def _remove_readable(self, connection: Connection) -> None:
-        """Close an idle connection whose read has ended, with data or with the end of the stream."""
-        if connection in self._idle:
-            self._remove_and_close(connection, _reason_of_input(connection.idle_input()))
+    def _remove_readable(self, connection: Connection, idle_input: IdleInput) -> None:
+        """Close an idle connection that has received data or the end of the stream."""
+        entry = self._idle.get(connection)
+        if entry is None:
+            return
+        if idle_input is IdleInput.DATA:
+            self._remove_and_close(connection, CloseReason.STRAY_ANSWER)
+            self.on_stray_answer(entry.address, connection, self._loop.time() - entry.since_s)
+        else:
+            self._remove_and_close(connection, CloseReason.CLOSED_BY_PEER)
 
     def _remove_and_close(self, connection: Connection, reason: CloseReason) -> None:
         entry = self._idle.pop(connection, None)
         if entry is not None:
-            entry[1].cancel()
+            entry.timer.cancel()
             connection.close(reason)
 
     def _longest_idle_since(self) -> float:
         """Return the loop time at which the longest idle connection became idle, or infinity."""
-        for _, timer in self._idle.values():
-            return timer.when() - self._max_idle_s
+        for entry in self._idle.values():
+            return entry.since_s
         return math.inf
 
     def _close_longest_idle(self) -> bool:
@@ -90,7 +117,3 @@
             return False
         self._remove_and_close(next(iter(self._idle)), CloseReason.EVICTED)
         return True
-
-
-def _reason_of_input(idle_input: IdleInput) -> CloseReason:
-    return CloseReason.STRAY_ANSWER if idle_input is IdleInput.DATA else CloseReason.CLOSED_BY_PEER
--- /dev/null
+++ b/larkcrank/transport/reuse.py
@@ -0,0 +1,169 @@
+"""Decides which kept connections may carry another request, and which answers on them can be believed.
+
+HTTP/1.1 matches an answer to its request by their order on the connection alone. What an endpoint sends
+although no request asked for it (a stray answer) is read as the answer to the next request on that
+connection. So a kept connection proves less than a new one: what arrives on it may have been sent before its
+request was.
+"""
+
+import math
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from larkcrank.core.interface import Address
+
+MAX_REMEMBERED_ANSWERS = 64  # per connection
+MAX_REMEMBERED_DIGESTS = 256  # per request class
+# Answers that repeat no more often than this are made for their requests, so a repeated one is a copy.
+MIN_DISTINCT_ANSWERS = 8
+MAX_REPEATED_SHARE = 0.01
+# After a stray answer, connections rest for this many times its lateness before they are used again.
+REST_FACTOR = 4.0
+MIN_REST_MS = 20.0
+MAX_REST_MS = 1000.0  # where a longer rest is needed, connections are not kept at all
+MAX_LATENESS_MS = 2000.0  # what comes later is a notice that ends an idle connection, not a late answer
+SUSPICION_MS = 60_000.0  # after the last stray answer
+MIN_ENDPOINTS_FOR_ALL = 2  # with stray answers from so many endpoints, the cause is taken to concern all
+
+
+@dataclass(slots=True, frozen=True)
+class CarriedAnswer:
+    """An answer that a connection has carried."""
+
+    arrived_at: float  # in ms
+    class_index: int
+    target: bytes  # of its request
+
+
+class AnswerHistory:
+    """The answers that one connection has carried, by digest."""
+
+    __slots__ = ("_answers",)
+
+    def __init__(self) -> None:
+        self._answers: OrderedDict[int, CarriedAnswer] = OrderedDict()
+
+    def add(self, digest: int, answer: CarriedAnswer) -> None:
+        self._answers[digest] = answer
+        if len(self._answers) > MAX_REMEMBERED_ANSWERS:
+            self._answers.popitem(last=False)
+
+    def find(self, digest: int) -> CarriedAnswer | None:
+        """Return the earlier answer with the same content, or None."""
+        return self._answers.get(digest)
+
+
+class AnswerVariety:
+    """Whether the answers to a set of requests differ from request to request."""
+
+    def __init__(self) -> None:
+        self._connections: OrderedDict[int, int] = OrderedDict()  # digest: connection that carried it first
+        self._distinct = 0
+        self._repeated: float = 0
+
+    @property
+    def is_known(self) -> bool:
+        """Whether enough answers have come to tell."""
+        return self._distinct >= MIN_DISTINCT_ANSWERS or self._repeated > 0
+
+    @property
+    def repeats(self) -> bool:
+        """Whether different requests get equal answers more than rarely."""
+        return self._repeated > MAX_REPEATED_SHARE * self._distinct
+
+    def add(self, digest: int, connection_number: int) -> None:
+        """Count an answer. A repetition on the same connection may be a copy, so it is not counted."""
+        first_connection = self._connections.get(digest)
+        if first_connection is None:
+            self._distinct += 1
+            self._connections[digest] = connection_number
+            if len(self._connections) > MAX_REMEMBERED_DIGESTS:
+                self._connections.popitem(last=False)
+        elif first_connection != connection_number:
+            self._repeated += 1
+
+    def record_no_copy(self) -> None:
+        """Record that an answer taken for a copy was none, so that these answers are not checked any more."""
+        self._repeated = math.inf
+
+
+@dataclass(slots=True)
+class _Suspicion:
+    """The stray answers of one endpoint."""
+
+    rest_ms: float
+    until: float  # in ms
+
+
+class ReuseGuard:
+    """Suspects endpoints that have sent stray answers. Times are in ms of the caller's clock."""
+
+    def __init__(self) -> None:
+        self._suspicions: dict[Address, _Suspicion] = {}
+        self._all_answers = AnswerVariety()
+        self._varieties: dict[int, AnswerVariety] = {}  # by index of the request class
+
+    @property
+    def knows_answers(self) -> bool:
+        """Whether enough answers have come to tell a copy from an answer that repeats an earlier one."""
+        return self._all_answers.is_known
+
+    def add_answer(self, class_index: int, digest: int, connection_number: int) -> None:
+        """Record an answer with a body that was passed on."""
+        self._all_answers.add(digest, connection_number)
+        self._variety_of(class_index).add(digest, connection_number)
+
+    def record_no_copy(self, class_index: int) -> None:
+        """Record that an answer of this class that was taken for a copy was none."""
+        self._variety_of(class_index).record_no_copy()
+
+    def is_copy(self, earlier: CarriedAnswer, target: bytes) -> bool:
+        """Return whether an answer equal to an `earlier` one on its connection is a copy of that.
+
+        As long as too few answers are known, equal answers to equal targets are no copies.
+        """
+        variety = self._variety_of(earlier.class_index)
+        if variety.is_known:
+            return not variety.repeats
+        if self._all_answers.is_known:
+            return not self._all_answers.repeats
+        return earlier.target != target
+
+    def _variety_of(self, class_index: int) -> AnswerVariety:
+        if class_index not in self._varieties:
+            self._varieties[class_index] = AnswerVariety()
+        return self._varieties[class_index]
+
+    def record_stray(self, address: Address, late_ms: float, now: float) -> None:
+        """Record a stray answer that came `late_ms` after the last answer on its connection."""
+        if late_ms > MAX_LATENESS_MS:
+            return
+        rest_ms = max(late_ms * REST_FACTOR, MIN_REST_MS)
+        earlier = self._active_suspicion(address, now)
+        if earlier is not None:
+            rest_ms = max(rest_ms, earlier.rest_ms)
+        self._suspicions[address] = _Suspicion(
+            math.inf if rest_ms > MAX_REST_MS else rest_ms, now + SUSPICION_MS
+        )
+
+    def forget(self, address: Address) -> None:
+        """Forget the stray answers of an endpoint whose process has been replaced."""
+        self._suspicions.pop(address, None)
+
+    def required_rest_ms(self, address: Address, now: float) -> float:
+        """Return how long a connection must have rested before its next request.
+
+        Infinite: it must not be used again.
+        """
+        if not self._suspicions:
+            return 0.0
+        for other in [key for key, suspicion in self._suspicions.items() if suspicion.until <= now]:
+            del self._suspicions[other]
+        if len(self._suspicions) >= MIN_ENDPOINTS_FOR_ALL:
+            return max(suspicion.rest_ms for suspicion in self._suspicions.values())
+        suspicion = self._suspicions.get(address)
+        return 0.0 if suspicion is None else suspicion.rest_ms
+
+    def _active_suspicion(self, address: Address, now: float) -> _Suspicion | None:
+        suspicion = self._suspicions.get(address)
+        return suspicion if suspicion is not None and suspicion.until > now else None
