An answer is not lost when the read behind it fails with EHOSTUNREACH or the like

Cause: Tornado raises an errno that it does not count as a reset out of read_bytes instead of closing the stream; Connection.start_read expected StreamClosedError alone. The read that the pool starts on a connection at rest failed so, and the whole answer went with it. The same method serves clients and discovery.

Evidence: the test fails a read behind a whole answer with four errnos. Before: 502 with EHOSTUNREACH, ENETUNREACH and ENOBUFS (3 failed), 200 with ETIMEDOUT, which Tornado counts as a reset. After: 8 passed, crashed 0. StreamClosedError is an OSError itself; without a cause it still stands for an orderly close.

--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -66,9 +66,11 @@
             self.stream.read_chunk_size = max_bytes
             try:
                 self._pending_read = asyncio.ensure_future(self.stream.read_bytes(max_bytes, partial=True))
-            except StreamClosedError:
+            except OSError as error:
+                # A StreamClosedError, or the error itself if IOStream does not count it as a reset.
+                cause = None if isinstance(error, StreamClosedError) else error
                 self._pending_read = asyncio.get_running_loop().create_future()
-                self._pending_read.set_exception(StreamClosedError())
+                self._pending_read.set_exception(StreamClosedError(cause))
             self._pending_read.add_done_callback(_retrieve_exception)
         return self._pending_read
 
