Each attempt reads a long body with a cursor of its own

Cause: Upload had one position for all attempts; restart set it back while the send task of the attempt before, ended but not yet cancelled, still waited in next_part and took the first part of its successor's body. Class: one cursor shared by two consumers. Each attempt opens a reader of its own now; that ends the reader before it, which raises ConnectionLostError instead of taking a part.

Evidence: the same history on the text before (consumer waits, part appended, body restarted in the same turn): the ended attempt got the first part, its successor only the second. The two older tests of Upload read through a reader; their checks are the same.

--- a/larkcrank/routing/exchange.py
+++ b/larkcrank/routing/exchange.py
@@ -49,8 +49,7 @@
         self._parts: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._dropped_part_count = 0  # Number of parts removed from the buffer.
-        # Number of parts, counted from the first, that the current attempt has consumed.
-        self._consumed_part_count = 0
+        self._reader = UploadReader(self)  # That of the current attempt.
         self._changed = asyncio.Event()
         self.complete = False  # Whether the last byte has arrived.
         self.discarded = False  # Whether no attempt needs the body any more; further data is then dropped.
@@ -107,23 +106,28 @@
 
     # Server side
 
-    def restart(self) -> None:
-        """Let another attempt consume the body from its first byte."""
-        self._consumed_part_count = 0
-
-    async def next_part(self) -> bytes | None:
-        """Return the next part, or None at the end. Raises `ConnectionLostError` if it was cut short."""
-        while self._consumed_part_count - self._dropped_part_count >= len(self._parts):
+    def open_reader(self) -> "UploadReader":
+        """Return a reader that begins at the first byte. It ends the reader of the attempt before."""
+        self._reader = UploadReader(self)
+        self._changed.set()
+        return self._reader
+
+    async def _read_part(self, reader: "UploadReader") -> bytes | None:
+        while True:
+            if reader is not self._reader:
+                raise ConnectionLostError("another attempt reads the request body")
+            index = reader.consumed_part_count - self._dropped_part_count
+            if index < len(self._parts):
+                reader.consumed_part_count += 1
+                part = self._parts[index]
+                self._drop_consumed_parts()
+                return part
             if self.complete and not self.discarded:
                 return None
             if self.aborted or self.discarded:
                 raise ConnectionLostError("the request body was cut short")
             self._changed.clear()
             await self._changed.wait()
-        part = self._parts[self._consumed_part_count - self._dropped_part_count]
-        self._consumed_part_count += 1
-        self._drop_consumed_parts()
-        return part
 
     def _drop_consumed_parts(self) -> None:
         """While the buffer exceeds its limit, drop parts that the current attempt has consumed. The body then
@@ -131,7 +135,7 @@
         """
         while (
             self._buffered_bytes > http1.MAX_BUFFERED_BODY_BYTES
-            and self._consumed_part_count > self._dropped_part_count
+            and self._reader.consumed_part_count > self._dropped_part_count
         ):
             dropped_bytes = len(self._parts.popleft())
             self._dropped_part_count += 1
@@ -140,6 +144,21 @@
             self._changed.set()
 
 
+class UploadReader:
+    """Reads the body of an upload for one attempt."""
+
+    def __init__(self, upload: Upload) -> None:
+        self._upload = upload
+        self.consumed_part_count = 0  # Counted from the first part.
+
+    async def next_part(self) -> bytes | None:
+        """Return the next part, or None at the end.
+
+        Raises `ConnectionLostError` if the body was cut short or another attempt has begun to read it.
+        """
+        return await self._upload._read_part(self)
+
+
 @dataclass(slots=True, eq=False)
 class Exchange:
     """The state of a request from its arrival to the last byte of its response.
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -9,7 +9,7 @@
 from larkcrank.core.interface import Address, Effect, Result, State
 from larkcrank.protocol import http1, platform
 from larkcrank.protocol.discovery import ListUpdate
-from larkcrank.routing.exchange import Exchange, Upload
+from larkcrank.routing.exchange import Exchange, Upload, UploadReader
 from larkcrank.routing.trace import AttemptRecord, RecentAttempts
 from larkcrank.transport.budget import BufferBudget
 from larkcrank.transport.closing import CloseReason
@@ -345,8 +345,8 @@
             self._mark_written(attempt)
             await self._read_response(attempt, connection)
             return
-        exchange.upload.restart()
-        send_task = self._loop.create_task(self._send_body(attempt, connection, exchange.upload))
+        reader = exchange.upload.open_reader()
+        send_task = self._loop.create_task(self._send_body(attempt, connection, exchange.upload, reader))
         try:
             await self._read_response(attempt, connection, send_task)
         finally:
@@ -373,7 +373,9 @@
             attempt.fully_written = True
             attempt.exchange.written_attempts += 1
 
-    async def _send_body(self, attempt: Attempt, connection: Connection, upload: Upload) -> None:
+    async def _send_body(
+        self, attempt: Attempt, connection: Connection, upload: Upload, reader: UploadReader
+    ) -> None:
         """Forward the body as it arrives. If that fails, reading the response fails too.
 
         The attempt counts as fully written just before its last byte is sent. Whether the kernel accepted
@@ -381,7 +383,7 @@
         """
         bytes_left = attempt.exchange.request.content_length
         try:
-            while (part := await upload.next_part()) is not None:
+            while (part := await reader.next_part()) is not None:
                 if bytes_left is not None:
                     bytes_left -= len(part)
                     if not bytes_left:
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -95,17 +95,18 @@
     async def work() -> None:
         budget = BufferBudget(1 << 30)
         upload = Upload(b"x" * 40000, budget)
-        assert await upload.next_part() == b"x" * 40000
+        reader = upload.open_reader()
+        assert await reader.next_part() == b"x" * 40000
         upload.append(b"y" * 20000)
         assert upload.can_resend  # all 60 000 bytes are still buffered
-        upload.restart()
-        assert await upload.next_part() == b"x" * 40000
+        reader = upload.open_reader()
+        assert await reader.next_part() == b"x" * 40000
         upload.append(b"z" * 20000)
         assert not upload.can_resend and budget.held_bytes == 40000
-        assert await upload.next_part() == b"y" * 20000
-        assert await upload.next_part() == b"z" * 20000
+        assert await reader.next_part() == b"y" * 20000
+        assert await reader.next_part() == b"z" * 20000
         upload.finish(complete=True)
-        assert await upload.next_part() is None
+        assert await reader.next_part() is None
         upload.release()
         assert budget.held_bytes == 0
         upload.append(b"late")  # dropped
@@ -117,8 +118,9 @@
 def test_reading_an_upload_fails_when_its_client_has_gone() -> None:
     async def work() -> None:
         upload = Upload(b"x", BufferBudget(1 << 30))
-        assert await upload.next_part() == b"x"
-        waiting = asyncio.create_task(upload.next_part())
+        reader = upload.open_reader()
+        assert await reader.next_part() == b"x"
+        waiting = asyncio.create_task(reader.next_part())
         await asyncio.sleep(0)
         upload.finish(complete=False)
         with pytest.raises(ConnectionLostError):
@@ -127,6 +129,23 @@
     b.run(work())
 
 
+def test_an_attempt_that_has_ended_takes_no_part_of_its_successors_body() -> None:
+    async def work() -> None:
+        upload = Upload(b"first", BufferBudget(1 << 30))
+        reader = upload.open_reader()
+        assert await reader.next_part() == b"first"
+        waiting = asyncio.create_task(reader.next_part())
+        await asyncio.sleep(0)
+        upload.append(b"second")
+        successor = upload.open_reader()
+        assert await successor.next_part() == b"first"
+        with pytest.raises(ConnectionLostError):
+            await waiting
+        assert await successor.next_part() == b"second"
+
+    b.run(work())
+
+
 def test_a_used_up_memory_budget_reduces_read_ahead_and_read_size() -> None:
     budget = BufferBudget(4 << 20)
     upload = Upload(b"x" * http1.MAX_BUFFERED_BODY_BYTES, budget)
