Tiers: a new generation prefix is above the last one, whatever the clock says

Cause: a prefix is the system time's second and 12 random bits, so a second prefix within one second, or after a clock that was stepped back, was below the one before about every other time. The next one is used now where the drawn one is not above it. Class: an order taken from a clock that may stand or step back.

Across a restart of the process order still rests on the clock.

--- a/larkcrank/tiers/state.py
+++ b/larkcrank/tiers/state.py
@@ -144,10 +144,12 @@
         return sequence >= self._pruned_seq and not (for_tier and sequence < self._full_merge_seq)
 
     def replace_generation_prefix(self, generation_prefix: int) -> None:
-        """Invalidate all generations sent so far, so that each receiver gets a full answer next."""
-        if generation_prefix == self.generation_prefix:
-            generation_prefix ^= 1
-        self.generation_prefix = generation_prefix
+        """Invalidate all generations sent so far, so that each receiver gets a full answer next.
+
+        If `generation_prefix` is not above the present prefix, because the system time is the same or was
+        stepped back, the next higher prefix is used.
+        """
+        self.generation_prefix = max(generation_prefix, self.generation_prefix + 1)
 
     def _next_sequence(self) -> int:
         """Increment the sequence number. If it would overflow, start again at 1 with another prefix."""
--- a/tests/test_tiers_state.py
+++ b/tests/test_tiers_state.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from typing import Any
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -300,6 +301,17 @@
     assert first.sequence_of(41) is None and first.sequence_of(0) is None  # of a discovery service
 
 
+@pytest.mark.parametrize("later_s", [0.0, 0.5, -3600.0, 5.0])
+@pytest.mark.parametrize("random_values", [(4000, 3), (7, 7), (3, 4000)])
+def test_generations_grow_although_the_clock_stands_or_steps_back(
+    later_s: float, random_values: tuple[int, int]
+) -> None:
+    table = InstanceTable("z", 1, new_generation_prefix(1_796_365_222.0, random_values[0]))
+    before = table.generation
+    table.replace_generation_prefix(new_generation_prefix(1_796_365_222.0 + later_s, random_values[1]))
+    assert table.generation > before and table.sequence_of(before) is None
+
+
 def test_a_sequence_overflow_changes_the_generation_prefix() -> None:
     table = create_table("t")
     table.apply_discovery("d", [report("x", "Ready")], True, 0.0)
