A late copy of an earlier list answer does not undo a drain

A late copy of an earlier change was taken for the next watch's answer: a server that drains counted as ready again, and the generation went back (rule on drains). On a kept connection an answer with a generation below the one that is known is dropped now, and the call is made again on a new connection, where nothing can come late; there a lower generation is a discovery that counts anew, as before. stray_answers counts it.

Evidence: changes 5 (ready) and 6 (draining), then a copy of 5: before, the next call asked after=5 and the server was ready (the test failed); after, after=6 on a new connection. 58 tests of lists, driver and tiers' sidecars pass. A copy with the known generation changes nothing, and leaves the connection one answer behind; what is told is not late by it.

--- a/larkcrank/routing/discovery.py
+++ b/larkcrank/routing/discovery.py
@@ -55,6 +55,7 @@
     lists: int
     discovery_calls: int
     discovery_failures: int
+    stray_answers: int
     crashed: int
 
 
@@ -334,10 +335,19 @@
         self._counters.discovery_calls += 1
         asks_full_list = call_kind is CallKind.FULL_LIST or self._generation is None
         try:
-            response = await self._get_with_retry(connection, call_kind)
-            if response.status != 200:
-                raise ConnectionLostError(f"answered {response.status}")
-            list_update = discovery.parse_list(response.body, self._names)
+            known_generation = self._generation
+            list_update = await self._get_list(connection, call_kind)
+            if (
+                connection.is_reused
+                and known_generation is not None
+                and list_update.generation < known_generation
+            ):
+                # A late copy of an earlier answer. On a new connection nothing can come late.
+                self._counters.stray_answers += 1
+                connection.close()
+                list_update = await self._get_list(
+                    connection, CallKind.CHECK if call_kind is CallKind.WATCH else call_kind
+                )
             if asks_full_list and not list_update.is_full:
                 list_update = ListUpdate(
                     list_update.generation, True, list_update.endpoints, list_update.host_ports
@@ -375,6 +385,12 @@
             return error
         return None
 
+    async def _get_list(self, connection: "_DiscoveryConnection", call_kind: CallKind) -> ListUpdate:
+        response = await self._get_with_retry(connection, call_kind)
+        if response.status != 200:
+            raise ConnectionLostError(f"answered {response.status}")
+        return discovery.parse_list(response.body, self._names)
+
     async def _get_with_retry(
         self, connection: "_DiscoveryConnection", call_kind: CallKind
     ) -> http1.Response:
@@ -446,13 +462,15 @@
             connect_timeout_ms,
         )
         self._connection: Connection | None = None
+        self.is_reused = False  # Whether the last call was made on a connection that had carried another.
 
     async def get(self, target: bytes) -> http1.Response:
         """Make one call. Raises `_StaleConnectionError` if discovery has closed a reused connection; the next
         call opens a new one.
         """
         loop = asyncio.get_running_loop()
-        if self._connection is not None and self._connection.is_idle():
+        self.is_reused = self._connection is not None and self._connection.is_idle()
+        if self.is_reused and self._connection is not None:
             began_at = loop.time()
             try:
                 return await self._get(self._connection, target)
@@ -463,6 +481,7 @@
                     raise
                 self.close()
                 raise _StaleConnectionError(str(error)) from None
+        self.is_reused = False
         self.close()
         pending_connection = PendingConnection(self.host_port, self._descriptors, SocketUse.DISCOVERY)
         self._connection = pending_connection.connection
--- a/tests/test_crossings_lists.py
+++ b/tests/test_crossings_lists.py
@@ -152,6 +152,25 @@
     testbed.run(scenario())
 
 
+def test_a_late_copy_of_an_earlier_change_does_not_undo_a_drain() -> None:
+    async def scenario() -> None:
+        async with crossing.DiscoveryHarness(watch_after_move=False) as harness:
+            harness.discovery.set_generation(4)
+            harness.discovery.watch()
+            await harness.server.wait_for_call(1)
+            harness.server.send_list(0, 5, "Ready", is_full_list=False)
+            await harness.server.wait_for_call(2)
+            harness.server.send_list(1, 6, "Terminating", is_full_list=False)
+            await harness.server.wait_for_call(3)
+            harness.server.send_list(2, 5, "Ready", is_full_list=False)
+            assert await harness.server.wait_for_call(4) == b"/registry/instances?after=6&wait_ms=50"
+            assert harness.server.calls[3][1] is not harness.server.calls[2][1]
+            assert [update.generation for update in harness.lists] == [5, 6]
+            assert harness.discovery.generation == 6 and not harness.failures
+
+    testbed.run(scenario())
+
+
 def test_generation_of_the_previous_discovery_is_not_used_after_a_move() -> None:
     """A handover may complete after a SIGHUP has changed the discovery address; the two count generations
     differently.
