--- a/larkcrank/lab/endpoints.py
+++ b/larkcrank/lab/endpoints.py
@@ -307,7 +307,10 @@
         attempt.entered_late = self.link.entered_late
         attempt.told_s = float(request.fields.get_single(b"req-deadline") or -1.0)
         ledger.attempts.append(attempt)
-        self._open_attempts.append(attempt)
+        if self.link.is_closed_by_sidecar:  # the link delivered the request after the end of its connection
+            attempt.ended_at = attempt.arrived_at
+        else:
+            self._open_attempts.append(attempt)
         handshake_ms = endpoint._settings.handshake_ms if self._is_new else 0.0
         self._is_new, self._entered_at = False, -1.0
         if cls is None:
--- a/larkcrank/lab/links.py
+++ b/larkcrank/lab/links.py
@@ -181,6 +181,10 @@
         self._to_handler.send(exc is not None)
         self._unregister()
 
+    @property
+    def is_closed_by_sidecar(self) -> bool:
+        return self._transport is None
+
     def write(self, data: bytes, on_delivered: Callable[[], None] | None = None) -> None:
         """Send bytes from the stand-in; `on_delivered` runs once they are written to the sidecar's socket."""
         self._to_sidecar.send(data, on_delivered)
