An answer that comes sooner than any before is held back until another could have come

On a reused connection an answer in less than half of the shortest time known for its class (16 answers at least) is held back, for four usual times or half of what the client has left; if another answer follows on the connection, the first was stray. Otherwise it is served.

--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -16,6 +16,7 @@
 from larkcrank.transport.connection import (
     Connection,
     ConnectionLostError,
+    IdleInput,
     NoDescriptorError,
     PendingConnection,
 )
@@ -38,6 +39,7 @@
     reuses: int
     crashed: int
     stray_answers: int
+    held_answers: int
 
     def close(self, reason: CloseReason) -> None: ...
 
@@ -52,6 +54,7 @@
     __slots__ = (
         "_on_end",
         "address",
+        "answered_at",
         "begin_by_ms",
         "connection",
         "connection_number",
@@ -66,6 +69,7 @@
         "started_at",
         "timer",
         "writing_started",
+        "written_at",
     )
 
     def __init__(
@@ -81,6 +85,7 @@
         self.connection: Connection | None = None
         self.connection_number = 0
         self.position = 0  # of the request on its connection, from 1
+        self.written_at = self.answered_at = 0.0  # In ms of the process clock; 0 if not yet.
         self.timer: asyncio.TimerHandle | None = None
         self.begin_by_ms = begin_by_ms
         # Whether the first and the last byte of the request were passed to the kernel. Each is set just
@@ -97,6 +102,11 @@
     def is_on_reused_connection(self) -> bool:
         return self.position > 1
 
+    @property
+    def answer_time_ms(self) -> float:
+        """The time from the last byte of the request to the head of the answer."""
+        return self.answered_at - self.written_at
+
     def end(self, result: Result, load: tuple[float, ...] = ()) -> None:
         """End the attempt with `result` and the endpoint's load report. Later calls do nothing."""
         if self.ended:
@@ -367,10 +377,10 @@
             attempt.end(Result.NOT_SENT)
         return not attempt.ended
 
-    @staticmethod
-    def _mark_written(attempt: Attempt) -> None:
+    def _mark_written(self, attempt: Attempt) -> None:
         if not attempt.ended:
             attempt.fully_written = True
+            attempt.written_at = self._clock()
             attempt.exchange.written_attempts += 1
 
     async def _send_body(
@@ -407,7 +417,7 @@
         """
         exchange = attempt.exchange
         parser = http1.ResponseParser(math.inf if exchange.streaming else self._max_body)
-        while await self._skip_copy(attempt, connection, parser):
+        while await self._is_stray(attempt, connection, parser):
             extra_bytes = parser.take_extra_bytes()
             parser = http1.ResponseParser(self._max_body)
             parser.feed(extra_bytes)
@@ -459,14 +469,13 @@
             exchange.respond(200, response.fields.forwarded_lines(), response.body)
         attempt.end(result, platform.read_load_report(response.fields, self._load_fields))
 
-    async def _skip_copy(
-        self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser
-    ) -> bool:
+    async def _is_stray(self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser) -> bool:
         """Read a response up to its head and, on a reused connection, up to its end if it is short. Return
-        whether it is a copy of an earlier answer on this connection, so that the next one has to be read.
+        whether it is the answer to an earlier request, so that the next one has to be read.
         """
         while parser.head is None:
             parser.feed(await connection.read())
+        attempt.answered_at = self._clock()
         is_long = (parser.head.content_length or 0) > http1.MAX_BUFFERED_BODY_BYTES
         if not attempt.is_on_reused_connection or parser.head.status != 200 or is_long:
             return False
@@ -476,13 +485,34 @@
             except ConnectionLostError as error:
                 if not error.is_clean_close or not parser.handle_clean_close():
                     raise
-        earlier = connection.answers.find(parser.content_digest()) if parser.complete else None
-        if earlier is None or not self._reuse_guard.is_copy(earlier, attempt.exchange.request.target):
+        if not parser.complete or not attempt.fully_written:
             return False
-        attempt.skipped_answer = True
-        self._stray_answer(
-            attempt.address, connection, self._clock() - earlier.arrived_at, "copy", attempt.exchange
-        )
+        earlier = connection.answers.find(parser.content_digest())
+        if earlier is not None and self._reuse_guard.is_copy(earlier, attempt.exchange.request.target):
+            attempt.skipped_answer = True
+            late_ms = self._clock() - earlier.arrived_at
+            self._stray_answer(attempt.address, connection, late_ms, "copy", attempt.exchange)
+            return True
+        return await self._is_followed_by_another(attempt, connection, parser)
+
+    async def _is_followed_by_another(
+        self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser
+    ) -> bool:
+        """Hold back an answer that came sooner than any before. Return whether another one follows it, so
+        that it was not the answer to this request.
+        """
+        exchange = attempt.exchange
+        hold_ms = self._reuse_guard.times_of(exchange.class_index).hold_ms(attempt.answer_time_ms)
+        hold_ms = min(hold_ms, (exchange.deadline - self._clock()) / 2)
+        if hold_ms <= 0.0 or parser.has_extra_bytes:
+            return False
+        self._counters.held_answers += 1
+        await asyncio.wait((connection.start_read(),), timeout=hold_ms / 1000.0)
+        if connection.idle_input() is not IdleInput.DATA:
+            return False
+        parser.feed(await connection.read())
+        late_ms = self._clock() - connection.last_answer_at
+        self._stray_answer(attempt.address, connection, late_ms, "too soon", exchange)
         return True
 
     def _may_believe(self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser) -> bool:
@@ -503,6 +533,8 @@
         return extra.complete and extra.content_digest() == parser.content_digest()
 
     def _remember_answer(self, attempt: Attempt, connection: Connection, digest: int, has_body: bool) -> None:
+        connection.last_answer_at = attempt.answered_at
+        self._reuse_guard.times_of(attempt.exchange.class_index).add(attempt.answer_time_ms)
         if has_body:
             class_index = attempt.exchange.class_index
             answer = CarriedAnswer(self._clock(), class_index, attempt.exchange.request.target)
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -54,6 +54,7 @@
         self.number = 0  # identifies a connection to an endpoint in the log
         self.requests_carried = 0
         self.answers = AnswerHistory()
+        self.last_answer_at = 0.0  # in ms of the process clock
         self.on_closed: Callable[[CloseReason], None] = lambda _: None
 
     @property
--- a/larkcrank/transport/reuse.py
+++ b/larkcrank/transport/reuse.py
@@ -23,6 +23,11 @@
 MAX_REST_MS = 1000.0  # where a longer rest is needed, connections are not kept at all
 MAX_LATENESS_MS = 2000.0  # what comes later is a notice that ends an idle connection, not a late answer
 SUSPICION_MS = 60_000.0  # after the last stray answer
+# An answer in less than this share of the shortest time known is held back, for so many usual times at most,
+# to see whether another answer follows.
+FAST_SHARE = 0.5
+HOLD_FACTOR = 4.0
+MIN_TIMED_ANSWERS = 16
 MIN_ENDPOINTS_FOR_ALL = 2  # with stray answers from so many endpoints, the cause is taken to concern all
 
 
@@ -87,6 +92,25 @@
         self._repeated = math.inf
 
 
+class AnswerTimes:
+    """How long endpoints take to answer requests of one class, in ms."""
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._mean = 0.0
+        self._shortest = math.inf
+
+    def add(self, elapsed_ms: float) -> None:
+        self._count += 1
+        self._mean += (elapsed_ms - self._mean) / min(self._count, MIN_TIMED_ANSWERS)
+        self._shortest = min(self._shortest, elapsed_ms)
+
+    def hold_ms(self, elapsed_ms: float) -> float:
+        """Return how long an answer that came after `elapsed_ms` is to be held back; 0 if it is not."""
+        is_fast = self._count >= MIN_TIMED_ANSWERS and elapsed_ms < FAST_SHARE * self._shortest
+        return HOLD_FACTOR * self._mean if is_fast else 0.0
+
+
 @dataclass(slots=True)
 class _Suspicion:
     """The stray answers of one endpoint."""
@@ -102,6 +126,7 @@
         self._suspicions: dict[Address, _Suspicion] = {}
         self._all_answers = AnswerVariety()
         self._varieties: dict[int, AnswerVariety] = {}  # by index of the request class
+        self._times: dict[int, AnswerTimes] = {}  # by index of the request class
 
     @property
     def knows_answers(self) -> bool:
@@ -129,6 +154,11 @@
             return not self._all_answers.repeats
         return earlier.target != target
 
+    def times_of(self, class_index: int) -> AnswerTimes:
+        if class_index not in self._times:
+            self._times[class_index] = AnswerTimes()
+        return self._times[class_index]
+
     def _variety_of(self, class_index: int) -> AnswerVariety:
         if class_index not in self._varieties:
             self._varieties[class_index] = AnswerVariety()
--- /dev/null
+++ b/tests/test_reuse.py
@@ -0,0 +1,100 @@
+"""What is concluded from answers on kept connections, and when connections may be kept."""
+
+import asyncio
+import math
+
+import pytest
+
+from larkcrank.protocol import http1
+from larkcrank.transport import reuse
+from larkcrank.transport.reuse import CarriedAnswer, ReuseGuard
+from tests import bed as testbed
+
+EARLIER = CarriedAnswer(arrived_at=0.0, class_index=0, target=b"/view/1")
+
+
+def test_an_answer_is_a_copy_only_where_answers_differ_from_request_to_request() -> None:
+    guard = ReuseGuard()
+    assert guard.is_copy(EARLIER, b"/view/2") and not guard.is_copy(EARLIER, b"/view/1")
+    for number in range(reuse.MIN_DISTINCT_ANSWERS):
+        guard.add_answer(0, digest=number, connection_number=1)
+    assert guard.knows_answers and guard.is_copy(EARLIER, b"/view/1")
+    guard.add_answer(0, digest=1, connection_number=1)  # a copy itself, perhaps
+    assert guard.is_copy(EARLIER, b"/view/1")
+    guard.add_answer(0, digest=1, connection_number=2)
+    assert not guard.is_copy(EARLIER, b"/view/2")
+
+
+def test_a_class_is_not_checked_any_more_after_an_answer_that_was_no_copy() -> None:
+    guard = ReuseGuard()
+    for number in range(reuse.MIN_DISTINCT_ANSWERS):
+        guard.add_answer(0, number, 1)
+    guard.record_no_copy(0)
+    assert not guard.is_copy(EARLIER, b"/view/2")
+
+
+@pytest.mark.parametrize(
+    ("late_ms", "rest_ms"), [(0.0, reuse.MIN_REST_MS), (50.0, 200.0), (300.0, math.inf), (5000.0, 0.0)]
+)
+def test_the_rest_of_connections_grows_with_the_lateness_of_stray_answers(
+    late_ms: float, rest_ms: float
+) -> None:
+    guard = ReuseGuard()
+    guard.record_stray(b"one", late_ms, now=0.0)
+    assert guard.required_rest_ms(b"one", 1.0) == rest_ms
+    assert guard.required_rest_ms(b"two", 1.0) == 0.0
+    guard.record_stray(b"three", late_ms, now=0.0)
+    assert guard.required_rest_ms(b"two", 1.0) == rest_ms
+    assert guard.required_rest_ms(b"one", reuse.SUSPICION_MS + 1.0) == 0.0
+
+
+def test_a_replaced_process_is_not_suspected() -> None:
+    guard = ReuseGuard()
+    guard.record_stray(b"one", 50.0, now=0.0)
+    guard.forget(b"one")
+    assert guard.required_rest_ms(b"one", 1.0) == 0.0
+
+
+def test_a_stray_answer_that_comes_sooner_than_any_before_is_not_served(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(reuse, "MIN_TIMED_ANSWERS", 3)
+
+    async def respond(endpoint: testbed.Endpoint, request: http1.Request, writer: testbed.Writer) -> None:
+        if len(endpoint.requests) > 3:
+            writer.write(http1.encode_response(200, (), b"made for another request"))
+        await asyncio.sleep(0.2)
+        await testbed.respond_ok(endpoint, request, writer)
+
+    async def scenario() -> None:
+        endpoint = testbed.Endpoint("s-1", respond)
+        async with testbed.bed(endpoint) as bed:
+            client = await bed.client()
+            for _ in range(4):
+                assert (await client.call("view")).body == b"made by /view/1"
+            counters = bed.sidecar.counters
+            assert counters.held_answers == counters.stray_answers == 1 and endpoint.connections_opened == 1
+
+    testbed.run(scenario())
+
+
+def test_an_answer_that_comes_sooner_than_any_before_is_served_if_no_other_follows(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(reuse, "MIN_TIMED_ANSWERS", 3)
+
+    async def respond(endpoint: testbed.Endpoint, request: http1.Request, writer: testbed.Writer) -> None:
+        await asyncio.sleep(0.2 if len(endpoint.requests) <= 3 else 0.0)
+        await testbed.respond_ok(endpoint, request, writer)
+
+    async def scenario() -> None:
+        endpoint = testbed.Endpoint("s-1", respond)
+        async with testbed.bed(endpoint) as bed:
+            client = await bed.client()
+            for _ in range(6):
+                assert (await client.call("view")).body == b"made by /view/1"
+            counters = bed.sidecar.counters
+            assert counters.held_answers == 1 and counters.stray_answers == 0
+            assert endpoint.connections_opened == 1
+
+    testbed.run(scenario())
