--- /dev/null
+++ b/larkcrank/routing/attempt.py
@@ -0,0 +1,85 @@
+"""One attempt at sending a request to an endpoint."""
+
+import asyncio
+from collections.abc import Callable
+
+from larkcrank.core.interface import Address, Result
+from larkcrank.routing.exchange import Exchange
+from larkcrank.transport.closing import CloseReason
+from larkcrank.transport.connection import Connection
+
+
+class Attempt:
+    """One attempt at sending a request to an endpoint.
+
+    Only `end` ends an attempt, stops its timer and closes its connection. An attempt that returns its
+    connection to the pool does so before calling `end`.
+    """
+
+    __slots__ = (
+        "_on_end",
+        "address",
+        "answered_at",
+        "begin_by_ms",
+        "connection",
+        "connection_number",
+        "ended",
+        "exchange",
+        "fully_written",
+        "index",
+        "is_unproven",
+        "position",
+        "response_started",
+        "skipped_answer",
+        "started_at",
+        "timer",
+        "writing_started",
+        "written_at",
+    )
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        index: int,
+        address: Address,
+        started_at: float,
+        begin_by_ms: float,
+        on_end: "Callable[[Attempt, Result, tuple[float, ...]], None]",
+    ) -> None:
+        self.exchange, self.index, self.address, self.started_at = exchange, index, address, started_at
+        self.connection: Connection | None = None
+        self.connection_number = 0
+        self.position = 0  # of the request on its connection, from 1
+        self.written_at = self.answered_at = 0.0  # In ms of the process clock; 0 if not yet.
+        self.timer: asyncio.TimerHandle | None = None
+        self.begin_by_ms = begin_by_ms
+        # Whether the first and the last byte of the request were passed to the kernel. Each is set just
+        # before that byte is written.
+        self.writing_started = False
+        self.fully_written = False
+        self.response_started = False  # Whether a streamed response has started.
+        self.ended = False
+        self.is_unproven = False  # Whether the response may belong to an earlier request.
+        self.skipped_answer = False  # Whether an answer was taken for a copy of an earlier one.
+        self._on_end = on_end
+
+    @property
+    def is_on_reused_connection(self) -> bool:
+        return self.position > 1
+
+    @property
+    def answer_time_ms(self) -> float:
+        """The time from the last byte of the request to the head of the answer."""
+        return self.answered_at - self.written_at
+
+    def end(self, result: Result, load: tuple[float, ...] = ()) -> None:
+        """End the attempt with `result` and the endpoint's load report. Later calls do nothing."""
+        if self.ended:
+            return
+        self.ended = True
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.connection is not None:  # HTTP/1.1 has no other way to cancel a request.
+            self.connection.close(CloseReason(result.value))
+            self.connection = None
+        self._on_end(self, result, load)
--- a/larkcrank/routing/driver.py
+++ b/larkcrank/routing/driver.py
@@ -35,9 +35,10 @@
 )
 from larkcrank.protocol import platform
 from larkcrank.protocol.discovery import ListUpdate
+from larkcrank.routing.attempt import Attempt
 from larkcrank.routing.discovery import DiscoveryClient
 from larkcrank.routing.exchange import Exchange
-from larkcrank.routing.servers import Attempt, AttemptExecutor
+from larkcrank.routing.servers import AttemptExecutor
 
 # Fraction of the grace period after the deadline at which a request that is still open is failed.
 OVERDUE_GRACE_FRACTION = 0.5
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -9,117 +9,39 @@
 from larkcrank.core.interface import Address, Effect, Result, State
 from larkcrank.protocol import http1, platform
 from larkcrank.protocol.discovery import ListUpdate
+from larkcrank.routing.attempt import Attempt
 from larkcrank.routing.exchange import Exchange, Upload, UploadReader
+from larkcrank.routing.probes import ProbeCounters, Prober
+from larkcrank.routing.responses import CheckCounters, ResponseChecker
 from larkcrank.routing.trace import AttemptRecord, RecentAttempts
 from larkcrank.transport.budget import BufferBudget
 from larkcrank.transport.closing import CloseReason
 from larkcrank.transport.connection import (
     Connection,
     ConnectionLostError,
-    IdleInput,
     NoDescriptorError,
     PendingConnection,
 )
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
 from larkcrank.transport.pool import ConnectionPool
-from larkcrank.transport.reuse import CarriedAnswer, ReuseGuard
+from larkcrank.transport.reuse import ReuseGuard
 
 # An endpoint that does not accept one part of a body within this time is treated as failed.
 BODY_WRITE_TIMEOUT_S = 10.0
 # Time without a byte of a streamed response after which its endpoint counts as gone.
 STREAM_READ_TIMEOUT_S = 20.0
-PROBE_TIMEOUT_FACTOR = 2.0  # Multiple of the connect timeout. Endpoints answer probes without queueing them.
 
 
-class ServerCounters(Protocol):
+class ServerCounters(ProbeCounters, CheckCounters, Protocol):
     """Counters that the server side increments."""
 
     sends: int
     connects: int
     reuses: int
-    crashed: int
-    stray_answers: int
-    held_answers: int
 
     def close(self, reason: CloseReason) -> None: ...
 
 
-class Attempt:
-    """One attempt at sending a request to an endpoint.
-
-    Only `end` ends an attempt, stops its timer and closes its connection. An attempt that returns its
-    connection to the pool does so before calling `end`.
-    """
-
-    __slots__ = (
-        "_on_end",
-        "address",
-        "answered_at",
-        "begin_by_ms",
-        "connection",
-        "connection_number",
-        "ended",
-        "exchange",
-        "fully_written",
-        "index",
-        "is_unproven",
-        "position",
-        "response_started",
-        "skipped_answer",
-        "started_at",
-        "timer",
-        "writing_started",
-        "written_at",
-    )
-
-    def __init__(
-        self,
-        exchange: Exchange,
-        index: int,
-        address: Address,
-        started_at: float,
-        begin_by_ms: float,
-        on_end: "Callable[[Attempt, Result, tuple[float, ...]], None]",
-    ) -> None:
-        self.exchange, self.index, self.address, self.started_at = exchange, index, address, started_at
-        self.connection: Connection | None = None
-        self.connection_number = 0
-        self.position = 0  # of the request on its connection, from 1
-        self.written_at = self.answered_at = 0.0  # In ms of the process clock; 0 if not yet.
-        self.timer: asyncio.TimerHandle | None = None
-        self.begin_by_ms = begin_by_ms
-        # Whether the first and the last byte of the request were passed to the kernel. Each is set just
-        # before that byte is written.
-        self.writing_started = False
-        self.fully_written = False
-        self.response_started = False  # Whether a streamed response has started.
-        self.ended = False
-        self.is_unproven = False  # Whether the response may belong to an earlier request.
-        self.skipped_answer = False  # Whether an answer was taken for a copy of an earlier one.
-        self._on_end = on_end
-
-    @property
-    def is_on_reused_connection(self) -> bool:
-        return self.position > 1
-
-    @property
-    def answer_time_ms(self) -> float:
-        """The time from the last byte of the request to the head of the answer."""
-        return self.answered_at - self.written_at
-
-    def end(self, result: Result, load: tuple[float, ...] = ()) -> None:
-        """End the attempt with `result` and the endpoint's load report. Later calls do nothing."""
-        if self.ended:
-            return
-        self.ended = True
-        if self.timer is not None:
-            self.timer.cancel()
-        if self.connection is not None:  # HTTP/1.1 has no other way to cancel a request.
-            self.connection.close(CloseReason(result.value))
-            self.connection = None
-        self._on_end(self, result, load)
-
-
 class AttemptExecutor:
     """Executes attempts and probes and reports their results."""
 
@@ -139,7 +61,8 @@
     ) -> None:
         self._pool = pool
         self._reuse_guard = ReuseGuard()
-        self._report_event = report_event
+        self._checker = ResponseChecker(self._reuse_guard, max_body, clock, counters, report_event)
+        self._prober = Prober(descriptors, connect_timeout_ms, load_fields, counters, report_failure)
         pool.on_stray_answer = self._stray_answer_at_rest
         # If set, only a drain stops requests to a server. A server that is missing from the list, or listed
         # as gone, is still used.
@@ -269,6 +192,11 @@
         """Start a probe of one server. Its result goes to `on_probe_result`."""
         self._start_task(self._run_probe(address))
 
+    async def _run_probe(self, address: Address) -> None:
+        started_at = self._clock()
+        result, load = await self._prober.probe(address, self._host_ports.get(address))
+        self.on_probe_result(address, result, self._clock() - started_at, load)
+
     def _start_task(self, coroutine: "asyncio._CoroutineLike[None]") -> None:
         task = self._loop.create_task(coroutine)
         self._tasks.add(task)
@@ -417,7 +345,7 @@
         """
         exchange = attempt.exchange
         parser = http1.ResponseParser(math.inf if exchange.streaming else self._max_body)
-        while await self._is_stray(attempt, connection, parser):
+        while await self._checker.is_stray(attempt, connection, parser):
             extra_bytes = parser.take_extra_bytes()
             parser = http1.ResponseParser(self._max_body)
             parser.feed(extra_bytes)
@@ -425,7 +353,7 @@
         result = platform.classify_response(parser.head)
         if result is Result.OK and attempt.is_on_reused_connection and not attempt.fully_written:
             # A request runs once its last byte has come, so this is the answer to an earlier one.
-            self._stray_answer(attempt.address, connection, 0.0, "before the request", exchange)
+            self._checker.record_stray(attempt.address, connection, 0.0, "before the request", exchange)
             connection.abort(CloseReason.STRAY_ANSWER)
             attempt.end(Result.RESET)
             return
@@ -456,12 +384,12 @@
         if not parser.complete:
             attempt.end(result)  # The rest of a long error response is not needed.
             return
-        if parser.has_extra_bytes and not self._may_believe(attempt, connection, parser):
+        if parser.has_extra_bytes and not self._checker.may_believe(attempt, connection, parser):
             attempt.end(Result.RESET)
             return
         digest, response = parser.content_digest(), parser.response()
         if result is Result.OK:
-            self._remember_answer(attempt, connection, digest, bool(response.body))
+            self._checker.remember(attempt, connection, digest, bool(response.body))
             # An endpoint that reports a failure may still run the request, so only a success leaves the
             # connection free for another one.
             if response.keep_alive and (send_task is None or attempt.fully_written):
@@ -469,96 +397,8 @@
             exchange.respond(200, response.fields.forwarded_lines(), response.body)
         attempt.end(result, platform.read_load_report(response.fields, self._load_fields))
 
-    async def _is_stray(self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser) -> bool:
-        """Read a response up to its head and, on a reused connection, up to its end if it is short. Return
-        whether it is the answer to an earlier request, so that the next one has to be read.
-        """
-        while parser.head is None:
-            parser.feed(await connection.read())
-        attempt.answered_at = self._clock()
-        is_long = (parser.head.content_length or 0) > http1.MAX_BUFFERED_BODY_BYTES
-        if not attempt.is_on_reused_connection or parser.head.status != 200 or is_long:
-            return False
-        while not parser.complete and parser.buffered_bytes <= http1.MAX_BUFFERED_BODY_BYTES:
-            try:
-                parser.feed(await connection.read())
-            except ConnectionLostError as error:
-                if not error.is_clean_close or not parser.handle_clean_close():
-                    raise
-        if not parser.complete or not attempt.fully_written:
-            return False
-        earlier = connection.answers.find(parser.content_digest())
-        if earlier is not None and self._reuse_guard.is_copy(earlier, attempt.exchange.request.target):
-            attempt.skipped_answer = True
-            late_ms = self._clock() - earlier.arrived_at
-            self._stray_answer(attempt.address, connection, late_ms, "copy", attempt.exchange)
-            return True
-        return await self._is_followed_by_another(attempt, connection, parser)
-
-    async def _is_followed_by_another(
-        self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser
-    ) -> bool:
-        """Hold back an answer that came sooner than any before. Return whether another one follows it, so
-        that it was not the answer to this request.
-        """
-        exchange = attempt.exchange
-        hold_ms = self._reuse_guard.times_of(exchange.class_index).hold_ms(attempt.answer_time_ms)
-        hold_ms = min(hold_ms, (exchange.deadline - self._clock()) / 2)
-        if hold_ms <= 0.0 or parser.has_extra_bytes:
-            return False
-        self._counters.held_answers += 1
-        await asyncio.wait((connection.start_read(),), timeout=hold_ms / 1000.0)
-        if connection.idle_input() is not IdleInput.DATA:
-            return False
-        parser.feed(await connection.read())
-        late_ms = self._clock() - connection.last_answer_at
-        self._stray_answer(attempt.address, connection, late_ms, "too soon", exchange)
-        return True
-
-    def _may_believe(self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser) -> bool:
-        """Return whether a response that is followed by further bytes is the answer to this request.
-
-        On a reused connection the bytes behind it may be the true answer, unless they repeat it.
-        """
-        extra_bytes = parser.take_extra_bytes()
-        self._stray_answer(attempt.address, connection, 0.0, "behind an answer", attempt.exchange)
-        connection.close(CloseReason.STRAY_ANSWER)
-        if not attempt.is_on_reused_connection or not http1.may_begin_response(extra_bytes):
-            return True
-        extra = http1.ResponseParser(self._max_body)
-        try:
-            extra.feed(extra_bytes)
-        except http1.MessageError:
-            return False
-        return extra.complete and extra.content_digest() == parser.content_digest()
-
-    def _remember_answer(self, attempt: Attempt, connection: Connection, digest: int, has_body: bool) -> None:
-        connection.last_answer_at = attempt.answered_at
-        self._reuse_guard.times_of(attempt.exchange.class_index).add(attempt.answer_time_ms)
-        if has_body:
-            class_index = attempt.exchange.class_index
-            answer = CarriedAnswer(self._clock(), class_index, attempt.exchange.request.target)
-            connection.answers.add(digest, answer)
-            self._reuse_guard.add_answer(class_index, digest, connection.number)
-
     def _stray_answer_at_rest(self, address: Address, connection: Connection, idle_s: float) -> None:
-        self._stray_answer(address, connection, idle_s * 1000.0, "at rest", None)
-
-    def _stray_answer(
-        self, address: Address, connection: Connection, late_ms: float, where: str, exchange: Exchange | None
-    ) -> None:
-        """Count, log and remember an answer that no request asked for."""
-        self._counters.stray_answers += 1
-        self._reuse_guard.record_stray(address, late_ms, self._clock())
-        self._report_event(
-            "stray_answer",
-            server=address.hex(),
-            connection=connection.number,
-            carried=connection.requests_carried,
-            where=where,
-            late_ms=round(late_ms, 1),
-            request=None if exchange is None else exchange.call_info.id,
-        )
+        self._checker.record_stray(address, connection, idle_s * 1000.0, "at rest", None)
 
     def _keep(self, attempt: Attempt, connection: Connection) -> None:
         """Return a connection to the pool, unless its endpoint's connections may not be used again."""
@@ -644,43 +484,3 @@
             await exchange.add_stream_part(data)
         finally:
             self._budget.release(len(data))
-
-    async def _run_probe(self, address: Address) -> None:
-        """Call a server's load or liveness path on a new connection and report the result."""
-        started_at, result = self._clock(), Result.NOT_SENT
-        load: tuple[float, ...] = ()
-        target = platform.LOAD_PATH if self._load_fields else platform.LIVE_PATH
-        host_port = self._host_ports.get(address)
-        connection: Connection | None = None
-        try:
-            if host_port is not None:
-                async with asyncio.timeout(PROBE_TIMEOUT_FACTOR * self._connect_timeout_ms / 1000.0):
-                    result = Result.CONNECT_FAILED
-                    pending_connection = PendingConnection(host_port, self._descriptors, SocketUse.ATTEMPT)
-                    connection = pending_connection.connection
-                    await pending_connection.wait(self._connect_timeout_ms)
-                    await connection.write(http1.encode_request(b"GET", target, (b"Host: " + address,)))
-                    result = Result.RESET
-                    parser = http1.ResponseParser(http1.MAX_BUFFERED_BODY_BYTES)
-                    while not parser.complete:
-                        parser.feed(await connection.read())
-                    response = parser.response()
-                    result = platform.classify_response(response)
-                    load = platform.parse_load_report(response.body, self._load_fields)
-        except TimeoutError:
-            result = Result.TIMEOUT
-        except NoDescriptorError:
-            result = Result.NOT_SENT
-        except ConnectionLostError:
-            pass
-        except http1.MessageError:
-            result = Result.ERROR
-        except Exception as error:
-            # A result is always reported, since a server whose probe had none would never be used again.
-            self._counters.crashed += 1
-            self._report_failure("probe", error)
-            result = Result.ERROR
-        finally:
-            if connection is not None:
-                connection.close()
-        self.on_probe_result(address, result, self._clock() - started_at, load)
