Tiers: no late answer on a kept connection is taken for the answer to the next call

A tier keeps its connections to discovery and other tiers, looked for nothing that came at rest on them, and marks the answer to a request for the full list as full: a late answer with a few changes, read in its place, would have removed all other servers. The kept connection is closed now if it has received anything at rest; a request for the full list has a new connection; on a reused one a full list below the known generation is no answer.

--- a/larkcrank/tiers/asking.py
+++ b/larkcrank/tiers/asking.py
@@ -6,6 +6,7 @@
 from larkcrank.protocol import http1
 
 READ_BYTES = 64 * 1024
+LOOP_TURNS_UNTIL_READ = 4  # until a task has received what the kernel holds for its socket
 
 
 class CallError(Exception):
@@ -27,6 +28,7 @@
         )
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self.bytes_sent = self.bytes_received = 0
+        self.is_reused = False  # whether the last call was made on a connection that had carried another
 
     async def fetch(
         self,
@@ -34,12 +36,16 @@
         timeout_s: float,
         header_lines: Iterable[bytes] = (),
         retry_if_closed: bool = True,
+        new_connection: bool = False,
     ) -> bytes:
         """Return the body of a 200 response. Raises `CallError`.
 
         `retry_if_closed`: if the server closed the kept connection before the response began, send the call
-        once more on a new connection.
+        once more on a new connection. `new_connection`: do not use the kept connection, on which an earlier
+        answer may come late.
         """
+        if new_connection:
+            self.close()
         host = b"Host: %s:%d" % (self._address[0].encode(), self._address[1])
         request = http1.encode_request(b"GET", target, (host, *header_lines))
         try:
@@ -66,13 +72,16 @@
 
     async def _call(self, request: bytes, retry_if_closed: bool) -> http1.Response:
         """Send a request on the kept connection, or on a new one. Raises `OSError` or `MessageError`."""
-        if self._streams is not None:
+        await self._close_if_unread()
+        self.is_reused = self._streams is not None
+        if self.is_reused:
             try:
                 return await self._exchange(request, reused=True)
             except (_ClosedBeforeResponseError, ConnectionError) as error:
                 if not retry_if_closed:
                     raise OSError(str(error) or "ended") from None
                 self.close()  # the server closed the kept connection: retry once on a new one
+                self.is_reused = False
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 self._streams = await asyncio.open_connection(*self._address)
@@ -80,6 +89,18 @@
             raise OSError("not connected") from None
         return await self._exchange(request, reused=False)
 
+    async def _close_if_unread(self) -> None:
+        """Close the kept connection if it has received something that no call has asked for."""
+        if self._streams is None:
+            return
+        read = asyncio.get_running_loop().create_task(self._streams[0].read(1))
+        for _ in range(LOOP_TURNS_UNTIL_READ):
+            await asyncio.sleep(0)
+        read.cancel()
+        (unread,) = await asyncio.gather(read, return_exceptions=True)
+        if isinstance(unread, bytes) and unread:
+            self.close()
+
     async def _exchange(self, request: bytes, reused: bool) -> http1.Response:
         """Send a request and read its response on the open connection.
 
--- a/larkcrank/tiers/feeds.py
+++ b/larkcrank/tiers/feeds.py
@@ -231,7 +231,7 @@
             answer = self._decode(
                 await self._catch_up_client[1].fetch(target, timeout_s, self._request_headers(self, None))
             )
-            self._validate(answer, after)
+            self._validate(answer, after, self._catch_up_client[1].is_reused)
             self._on_answer(self, address, answer)
         except (CallError, wire.AnswerError):
             self.failures += 1  # not logged: the watch reports an error that persists
@@ -251,11 +251,13 @@
         self.full_requests += after is None
         try:
             header_lines = self._request_headers(self, address)
-            body = await self._clients[address].fetch(
-                target, timeout_ms / 1000.0, header_lines, bool(self.is_tier)
+            client = self._clients[address]
+            # The answer to a request for the full list counts as full, so it must be the answer to this one.
+            body = await client.fetch(
+                target, timeout_ms / 1000.0, header_lines, bool(self.is_tier), new_connection=after is None
             )
             answer = self._decode(body)
-            self._validate(answer, after)
+            self._validate(answer, after, client.is_reused)
             self._on_answer(self, address, answer)
         except (CallError, wire.AnswerError) as error:
             self.failures += 1
@@ -272,10 +274,11 @@
             self._log_event("tier_call_good", feed=self.name, place="{}:{}".format(*address))
         return not (isinstance(answer, wire.TierAnswer) and answer.provisional) or self._has_one_address
 
-    def _validate(self, answer: Answer, after: int | None) -> None:
+    def _validate(self, answer: Answer, after: int | None, is_reused: bool) -> None:
         """Check the kind of the answer, and that its generation follows `after`. Raises `AnswerError`.
 
-        The answer to a request for the full list (`after` is None) is marked as full.
+        On a reused connection a full answer has to follow it too, since it may be a late copy of an earlier
+        one. The answer to a request for the full list (`after` is None) is marked as full.
         """
         is_tier = isinstance(answer, wire.TierAnswer)
         if self.is_tier is None:
@@ -288,6 +291,8 @@
             shift = SEQUENCE_BITS if is_tier else 63
             if answer.generation < after or answer.generation >> shift != after >> shift:
                 raise wire.AnswerError(f"foreign: generation {answer.generation} after {after}")
+        elif is_reused and answer.generation < after:
+            raise wire.AnswerError(f"late: full list of generation {answer.generation} after {after}")
 
     def _record_error(self, address: HostPort, reason: str) -> None:
         """Log the failure of a call to this address, unless the last one failed for the same reason."""
