A long body keeps its beginning while the next attempt connects

Cause: the buffer of a long body dropped what the attempt before had read, also after that attempt had ended and another had been promised; the next one then began at a negative index.

The fix: an ended attempt's reader ends with it and nothing is dropped on its account; an attempt that finds the beginning gone is not sent.

--- a/larkcrank/routing/exchange.py
+++ b/larkcrank/routing/exchange.py
@@ -108,9 +108,13 @@
 
     def open_reader(self) -> "UploadReader":
         """Return a reader that begins at the first byte. It ends the reader of the attempt before."""
+        self.end_reader()
+        return self._reader
+
+    def end_reader(self) -> None:
+        """End the reader of an attempt, so that parts are kept until the next attempt reads them."""
         self._reader = UploadReader(self)
         self._changed.set()
-        return self._reader
 
     async def _read_part(self, reader: "UploadReader") -> bytes | None:
         while True:
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -205,6 +205,8 @@
     def _attempt_ended(self, attempt: Attempt, result: Result, load: tuple[float, ...]) -> None:
         self._attempts.pop((attempt.exchange.id, attempt.index), None)
         attempt.exchange.last_result = result
+        if attempt.exchange.upload is not None:
+            attempt.exchange.upload.end_reader()
         self._record(attempt, result)
         if attempt.skipped_answer and result is Result.TIMEOUT:
             # No other answer has come, so the skipped one was no copy.
@@ -303,6 +305,8 @@
             # The request was answered, the server left, or the window in which the idempotency key is valid
             # ended. Nothing new may be sent.
             attempt.end(Result.NOT_SENT)
+        elif exchange.upload is not None and not exchange.upload.can_resend:
+            attempt.end(Result.NOT_SENT)  # The beginning of the body is no longer there.
         return not attempt.ended
 
     def _mark_written(self, attempt: Attempt) -> None:
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -4,11 +4,14 @@
 both things within one iteration of the event loop. No test depends on the length of a sleep.
 """
 
+import asyncio
+
 import pytest
 
 from larkcrank.core import interface as api
 from larkcrank.protocol import http1
 from larkcrank.protocol.discovery import ListUpdate
+from larkcrank.routing.exchange import Upload
 from larkcrank.transport.connection import Connection, PendingConnection
 from larkcrank.transport.descriptors import SocketUse
 from tests import bed as testbed
@@ -141,3 +144,52 @@
             await testbed.until(lambda: endpoint.connections_ended >= 1)
 
     testbed.run(scenario())
+
+
+def test_a_long_body_that_grows_while_its_next_attempt_connects_is_sent_whole(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    body = b"".join(b"%07d " % number for number in range(25_000))
+    first_part, second_part, rest = body[:40_000], body[40_000:140_000], body[140_000:]
+
+    async def reset_after_first_part(reader: testbed.Reader, writer: testbed.Writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(len(first_part))
+        writer.transport.abort()
+
+    appended_sizes: list[int] = []
+    original_append = Upload.append
+
+    def record_append(upload: Upload, data: bytes) -> None:
+        original_append(upload, data)
+        appended_sizes.append(len(data))
+
+    async def scenario() -> None:
+        monkeypatch.setattr(Upload, "append", record_append)
+        server = await asyncio.start_server(reset_after_first_part, "127.0.0.1", 0)
+        failing, other = testbed.Endpoint("s-1"), testbed.Endpoint("s-2")
+        failing.port = server.sockets[0].getsockname()[1]
+        async with testbed.bed(failing, other, discovery_up=False) as bed:
+            client, balancer = await bed.client(), crossing.ManualBalancer(bed)
+            client.writer.write(
+                b"POST /take/1 HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nReq-Kind: take\r\n"
+                b"Content-Length: %d\r\n\r\n" % len(body)
+            )
+            client.writer.write(first_part)
+            request_id = await balancer.wait_for_request()
+            balancer.decide(api.Send(request_id, b"s-1"))
+            await testbed.until(lambda: bool(balancer.events_of(api.Outcome)))
+            (outcome,) = balancer.events_of(api.Outcome)
+            assert outcome.never_ran and outcome.can_resend
+            delayed_connects = crossing.DelayedConnects(monkeypatch)
+            balancer.decide(api.Send(request_id, b"s-2"))
+            await testbed.until(lambda: delayed_connects.started_count == 1)
+            client.writer.write(second_part)
+            await testbed.until(lambda: sum(appended_sizes) == len(first_part) + len(second_part))
+            delayed_connects.released.set()
+            client.writer.write(rest)
+            assert (await client.read_response()).status == 200
+            assert [request.body == body for request in other.requests] == [True]
+        server.close()
+
+    testbed.run(scenario())
