A held answer leaves its attempt half of its time; 32 answers are remembered on a connection

The hold was bounded by the client's deadline alone, so an attempt that times out sooner could have lost an answer that it had. Half as many remembered answers halve the memory for them (about 6 kB a connection at most).

--- a/larkcrank/routing/attempt.py
+++ b/larkcrank/routing/attempt.py
@@ -72,6 +72,12 @@
         """The time from the last byte of the request to the head of the answer."""
         return self.answered_at - self.written_at
 
+    def time_left_ms(self) -> float:
+        """Return the time until the attempt times out; 0 if it has no timeout yet."""
+        if self.timer is None:
+            return 0.0
+        return (self.timer.when() - asyncio.get_running_loop().time()) * 1000.0
+
     def end(self, result: Result, load: tuple[float, ...] = ()) -> None:
         """End the attempt with `result` and the endpoint's load report. Later calls do nothing."""
         if self.ended:
--- a/larkcrank/routing/responses.py
+++ b/larkcrank/routing/responses.py
@@ -71,7 +71,7 @@
         """
         exchange = attempt.exchange
         hold_ms = self._guard.times_of(exchange.class_index).hold_ms(attempt.answer_time_ms)
-        hold_ms = min(hold_ms, (exchange.deadline - self._clock()) / 2)
+        hold_ms = min(hold_ms, attempt.time_left_ms() / 2)
         if hold_ms <= 0.0 or parser.has_extra_bytes:
             return False
         self._counters.held_answers += 1
--- a/larkcrank/transport/reuse.py
+++ b/larkcrank/transport/reuse.py
@@ -12,7 +12,7 @@
 
 from larkcrank.core.interface import Address
 
-MAX_REMEMBERED_ANSWERS = 64  # per connection
+MAX_REMEMBERED_ANSWERS = 32  # per connection
 MAX_REMEMBERED_DIGESTS = 256  # per request class
 # Answers that repeat no more often than this are made for their requests, so a repeated one is a copy.
 MIN_DISTINCT_ANSWERS = 8
