Cheaper start: the new records are msgspec structs; a probe without a socket has failed to connect

A probe whose socket can't be made counted as a crash since probes moved to a module; it is a failed connect again, as before.

--- a/larkcrank/routing/probes.py
+++ b/larkcrank/routing/probes.py
@@ -61,9 +61,10 @@
             return Result.ERROR, ()
 
     async def _call(self, address: Address, host_port: tuple[str, int]) -> ProbeOutcome:
-        pending_connection = PendingConnection(host_port, self._descriptors, SocketUse.ATTEMPT)
-        connection, result = pending_connection.connection, Result.CONNECT_FAILED
+        connection, result = None, Result.CONNECT_FAILED
         try:
+            pending_connection = PendingConnection(host_port, self._descriptors, SocketUse.ATTEMPT)
+            connection = pending_connection.connection
             await pending_connection.wait(self._connect_timeout_ms)
             target = platform.LOAD_PATH if self._load_fields else platform.LIVE_PATH
             await connection.write(http1.encode_request(b"GET", target, (b"Host: " + address,)))
@@ -72,7 +73,8 @@
         except ConnectionLostError:
             return result, ()
         finally:
-            connection.close()
+            if connection is not None:
+                connection.close()
 
     async def _read_response(self, connection: Connection) -> ProbeOutcome:
         parser = http1.ResponseParser(http1.MAX_BUFFERED_BODY_BYTES)
--- a/larkcrank/routing/trace.py
+++ b/larkcrank/routing/trace.py
@@ -1,13 +1,13 @@
 """The most recent attempts, kept in memory so that operators can follow a request through them."""
 
 from collections import deque
-from dataclasses import asdict, dataclass
+
+import msgspec
 
 MAX_RECORDS = 64
 
 
-@dataclass(slots=True, frozen=True)
-class AttemptRecord:
+class AttemptRecord(msgspec.Struct, frozen=True):
     """One attempt that has ended. Times are in ms of the process clock."""
 
     request: str  # its Req-Id
@@ -31,4 +31,4 @@
 
     def as_list(self) -> list[dict[str, object]]:
         """Return the records as fields of a log event, oldest first."""
-        return [asdict(record) for record in self._records]
+        return [msgspec.structs.asdict(record) for record in self._records]
--- a/larkcrank/transport/pool.py
+++ b/larkcrank/transport/pool.py
@@ -4,7 +4,8 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from larkcrank.core.interface import Address
 from larkcrank.transport.closing import CloseReason
@@ -16,8 +17,7 @@
 MAX_IDLE_SHARE = 0.5
 
 
-@dataclass(slots=True, frozen=True)
-class _IdleEntry:
+class _IdleEntry(msgspec.Struct, frozen=True):
     address: Address
     since_s: float  # when the connection became idle, on the event loop's clock
     timer: asyncio.TimerHandle  # closes it at its idle time limit
--- a/larkcrank/transport/reuse.py
+++ b/larkcrank/transport/reuse.py
@@ -8,7 +8,8 @@
 
 import math
 from collections import OrderedDict
-from dataclasses import dataclass
+
+import msgspec
 
 from larkcrank.core.interface import Address
 
@@ -31,8 +32,7 @@
 MIN_ENDPOINTS_FOR_ALL = 2  # with stray answers from so many endpoints, the cause is taken to concern all
 
 
-@dataclass(slots=True, frozen=True)
-class CarriedAnswer:
+class CarriedAnswer(msgspec.Struct, frozen=True):
     """An answer that a connection has carried."""
 
     arrived_at: float  # in ms
@@ -111,8 +111,7 @@
         return HOLD_FACTOR * self._mean if is_fast else 0.0
 
 
-@dataclass(slots=True)
-class _Suspicion:
+class _Suspicion(msgspec.Struct, frozen=True):
     """The stray answers of one endpoint."""
 
     rest_ms: float
