Equal answers on the only connection of a new sidecar do not hold a request up

Seen on reading: before enough answers are known, an answer equal to an earlier one for another target was skipped as a copy; a sidecar with one connection before a server that always answers the same would have kept its second request waiting until its deadline. Only safe requests use connections again at that time, so the attempt ends as a reset instead and goes on, and the equal answer on the next connection tells that answers repeat. The new test got 503 before and four times 200 after.

--- a/larkcrank/routing/responses.py
+++ b/larkcrank/routing/responses.py
@@ -57,8 +57,10 @@
             return False
         earlier = connection.answers.find(parser.content_digest())
         if earlier is not None and self._guard.is_copy(earlier, attempt.exchange.request.target):
-            attempt.skipped_answer = True
             late_ms = self._clock() - earlier.arrived_at
+            if not self._guard.knows_answers:  # only safe requests reuse connections then
+                raise ConnectionLostError("the answer may be a copy of an earlier one")
+            attempt.skipped_answer = True
             self.record_stray(attempt.address, connection, late_ms, "copy", attempt.exchange)
             return True
         return await self._is_followed_by_another(attempt, connection, parser)
--- a/tests/test_reuse.py
+++ b/tests/test_reuse.py
@@ -98,3 +98,22 @@
             assert endpoint.connections_opened == 1
 
     testbed.run(scenario())
+
+
+def test_equal_answers_to_different_requests_on_the_only_connection_are_served() -> None:
+    async def respond(endpoint: testbed.Endpoint, request: http1.Request, writer: testbed.Writer) -> None:
+        writer.write(http1.encode_response(200, (), b"ok"))
+
+    async def scenario() -> None:
+        endpoint = testbed.Endpoint("s-1", respond)
+        async with testbed.bed(endpoint) as bed:
+            client = await bed.client()
+            for number in range(4):
+                client.writer.write(
+                    b"GET /view/%d HTTP/1.1\r\nHost: a\r\nReq-Id: %d\r\nReq-Deadline: 2\r\n\r\n"
+                    % (number, number)
+                )
+                assert (await client.read_response()).status == 200
+            assert bed.sidecar.counters.outcomes["timeout"] == 0 and len(endpoint.requests) == 5
+
+    testbed.run(scenario())
