--- a/larkcrank/lab/scale/stamped.py
+++ b/larkcrank/lab/scale/stamped.py
@@ -103,9 +103,8 @@
         platform, "encode_endpoint_request", lambda request, wait: _record(request_id(request), "going")
     )
     _wrap_method(
-        AttemptExecutor, "_mark_written", lambda attempt: _record(attempt.exchange.call_info.id, "written")
+        AttemptExecutor, "_mark_written", lambda _, attempt: _record(attempt.exchange.call_info.id, "written")
     )
-    AttemptExecutor._mark_written = staticmethod(AttemptExecutor._mark_written)  # type: ignore[method-assign]
     _wrap_method(Exchange, "respond", record_response)
     write_response: Any = ClientConnections._write_buffered_response
 
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -23,7 +23,6 @@
 from larkcrank.protocol import http1
 from larkcrank.protocol.discovery import ListUpdate, NameTable
 from larkcrank.routing.discovery import DiscoveryClient
-from larkcrank.transport import reuse
 from larkcrank.transport.connection import Connection, PendingConnection
 from larkcrank.transport.descriptors import DescriptorBudget
 from tests import bed as testbed
@@ -79,8 +78,11 @@
     """
     assert (await client.call("view")).status == 200
     await testbed.until(lambda: len(bed.sidecar.pool) == 1)
-    for number in range(reuse.MIN_DISTINCT_ANSWERS):  # before that, only safe requests use it again
-        bed.sidecar._servers._reuse_guard.add_answer(0, number, number)
+    for connection_number in (
+        1,
+        2,
+    ):  # before it is known that answers repeat, only safe requests use it again
+        bed.sidecar._servers._reuse_guard.add_answer(0, digest=1, connection_number=connection_number)
 
 
 LONG_BODY_BYTES = 200_000  # Length of a body that is forwarded while it is received.
