--- a/larkcrank/lab/scale/hollow.py
+++ b/larkcrank/lab/scale/hollow.py
@@ -169,6 +169,10 @@
     def __init__(self, connection: Any, count_bytes: "Callable[[int, int], None]") -> None:
         self._connection, self._count_bytes = connection, count_bytes
 
+    @property
+    def is_reused(self) -> bool:
+        return bool(self._connection.is_reused)
+
     async def get(self, target: bytes) -> http1.Response:
         response: http1.Response = await self._connection.get(target)
         head_bytes = STATUS_LINE_BYTES + sum(len(field.raw_line) + 2 for field in response.fields) + 2
