--- /dev/null
+++ b/tests/test_diagnostics.py
@@ -0,0 +1,46 @@
+"""What operators are shown of closes, retries, refusals and attempts, and probes that find no socket."""
+
+import errno
+import socket
+
+import pytest
+
+from larkcrank.core.interface import Result
+from larkcrank.program.counters import Counters
+from larkcrank.routing import trace
+from larkcrank.routing.probes import Prober
+from larkcrank.transport.descriptors import DescriptorBudget
+from tests import bed as testbed
+
+
+def test_closes_retries_and_refusals_are_counted_by_reason_and_attempts_recorded() -> None:
+    async def scenario() -> None:
+        declining = [testbed.Endpoint(name, testbed.respond_declined) for name in ("s-1", "s-2")]
+        async with testbed.bed(*declining) as bed:
+            client = await bed.client()
+            assert (await client.call("take")).status == 503
+            counters = bed.sidecar.counters
+            assert counters.retries == {"rejected": counters.sends - 1} and counters.sends > 1
+            assert counters.refusals == {"rejected": 1} and counters.failures == {}
+            assert counters.closes == {"rejected": counters.sends}
+            records = bed.sidecar._servers.recent_attempts.as_list()
+            assert [record["attempt"] for record in records] == list(range(counters.sends))
+            assert {(record["result"], record["position"]) for record in records} == {("rejected", 1)}
+            assert len({record["connection"] for record in records}) == counters.sends <= trace.MAX_RECORDS
+
+    testbed.run(scenario())
+
+
+def test_a_probe_that_gets_no_socket_has_failed_to_connect(monkeypatch: pytest.MonkeyPatch) -> None:
+    def refuse(*_: object) -> socket.socket:
+        raise OSError(errno.EADDRNOTAVAIL, "no address")
+
+    async def scenario() -> None:
+        counters = Counters()
+        prober = Prober(DescriptorBudget(64), 250.0, (), counters, lambda *_: None)
+        monkeypatch.setattr("larkcrank.transport.connection.socket.socket", refuse)
+        result, _ = await prober.probe(b"s-1", ("127.0.0.1", 9))
+        monkeypatch.undo()
+        assert result is Result.CONNECT_FAILED and counters.crashed == 0
+
+    testbed.run(scenario())
