--- a/review/stand_ins/platform.py
+++ b/review/stand_ins/platform.py
@@ -152,6 +152,7 @@
     """Run a case, which returns whether the rule held, and exit with its code."""
     record = Record(folder / "record.txt")
     code, platform = COULD_NOT_RUN, None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         platform = Platform(record)
         code = HELD if asyncio.run(_limited(case(record, platform), limit_s)) else BROKEN
--- a/review/stand_ins/record.py
+++ b/review/stand_ins/record.py
@@ -1,5 +1,6 @@
 """The record of a run: what was sent, answered and run, a line each."""
 
+import contextlib
 import time
 from pathlib import Path
 from typing import TextIO
@@ -21,7 +22,8 @@
     def say(self, *words: object) -> None:
         """Write a line to the record and to standard output."""
         self.line(*words)
-        print(*words, flush=True)
+        with contextlib.suppress(OSError):  # nobody may read it
+            print(*words, flush=True)
 
     def close(self) -> None:
         self._file.close()
