Recorded attempts tell how long their connection rested and their answer took

Measured: the new test of test_diagnostics fails without the change (no such fields) and passes with it.

--- a/larkcrank/routing/attempt.py
+++ b/larkcrank/routing/attempt.py
@@ -30,6 +30,7 @@
         "is_unproven",
         "position",
         "response_started",
+        "rested_ms",
         "skipped_answer",
         "started_at",
         "timer",
@@ -50,6 +51,7 @@
         self.connection: Connection | None = None
         self.connection_number = 0
         self.position = 0  # of the request on its connection, from 1
+        self.rested_ms = 0.0  # how long its connection had been idle; 0 if it is new
         self.written_at = self.answered_at = 0.0  # In ms of the process clock; 0 if not yet.
         self.timer: asyncio.TimerHandle | None = None
         self.begin_by_ms = begin_by_ms
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -237,6 +237,8 @@
                 attempt.started_at,
                 self._clock(),
                 result.value,
+                rested_ms=round(attempt.rested_ms, 1),
+                answer_ms=round(max(attempt.answer_time_ms, 0.0), 1),
             )
         )
 
@@ -276,6 +278,7 @@
         exchange = attempt.exchange
         connection.requests_carried += 1
         attempt.connection_number, attempt.position = connection.number, connection.requests_carried
+        attempt.rested_ms = connection.rested_ms
         self._counters.sends += 1
         attempt.writing_started = True
         wait_ms = exchange.client_timeout_ms if stop_at_ms == math.inf else stop_at_ms - self._clock()
--- a/larkcrank/routing/trace.py
+++ b/larkcrank/routing/trace.py
@@ -18,6 +18,8 @@
     started_at: float
     ended_at: float
     result: str
+    rested_ms: float  # how long the connection was idle before; 0 if it was new
+    answer_ms: float  # from the last byte of the request to the head of the answer; 0 if there was none
 
 
 class RecentAttempts:
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -53,6 +53,7 @@
         self.host_port: tuple[str, int] | None = None  # the remote address of an outgoing connection
         self.number = 0  # identifies a connection to an endpoint in the log
         self.requests_carried = 0
+        self.rested_ms = 0.0  # how long it was idle before its present request; 0 if it is new
         self.answers = AnswerHistory()
         self.last_answer_at = 0.0  # in ms of the process clock
         self.on_closed: Callable[[CloseReason], None] = lambda _: None
--- a/larkcrank/transport/pool.py
+++ b/larkcrank/transport/pool.py
@@ -67,7 +67,9 @@
             elif (idle_input := connection.idle_input()) is not IdleInput.NONE:
                 self._remove_readable(connection, idle_input)
             else:
-                self._idle.pop(connection).timer.cancel()
+                entry = self._idle.pop(connection)
+                entry.timer.cancel()
+                connection.rested_ms = (self._loop.time() - entry.since_s) * 1000.0
                 return connection
         return None
 
--- a/tests/test_diagnostics.py
+++ b/tests/test_diagnostics.py
@@ -1,12 +1,15 @@
 """What operators are shown of closes, retries, refusals and attempts, and probes that find no socket."""
 
+import asyncio
 import errno
 import socket
+from typing import cast
 
 import pytest
 
 from larkcrank.core.interface import Result
 from larkcrank.program.counters import Counters
+from larkcrank.protocol import http1
 from larkcrank.routing import trace
 from larkcrank.routing.probes import Prober
 from larkcrank.transport.descriptors import DescriptorBudget
@@ -31,6 +34,25 @@
     testbed.run(scenario())
 
 
+def test_recorded_attempts_tell_how_long_their_connection_rested_and_their_answer_took() -> None:
+    async def respond(endpoint: testbed.Endpoint, request: http1.Request, writer: testbed.Writer) -> None:
+        await asyncio.sleep(0.02)
+        await testbed.respond_ok(endpoint, request, writer)
+
+    async def scenario() -> None:
+        async with testbed.bed(testbed.Endpoint("s-1", respond)) as bed:
+            client = await bed.client()
+            await client.call("view")
+            await asyncio.sleep(0.3)
+            await client.call("view")
+            first, second = bed.sidecar._servers.recent_attempts.as_list()
+            assert (first["position"], second["position"]) == (1, 2)
+            assert first["rested_ms"] == 0.0 and cast(float, second["rested_ms"]) >= 290.0
+            assert all(cast(float, record["answer_ms"]) >= 15.0 for record in (first, second))
+
+    testbed.run(scenario())
+
+
 def test_a_probe_that_gets_no_socket_has_failed_to_connect(monkeypatch: pytest.MonkeyPatch) -> None:
     def refuse(*_: object) -> socket.socket:
         raise OSError(errno.EADDRNOTAVAIL, "no address")
