What answers are like and when connections rest have a module each

Shape: transport/reuse.py had two jobs. AnswerRecords (transport/answers.py) holds which answers repeat and how long they take; ReuseGuard keeps the suspicions of endpoints and the rest of connections. Behaviour unchanged. Measured: test_reuse, test_sidecar, test_gone and test_crossings_attempts: 116 passed.

--- a/larkcrank/routing/responses.py
+++ b/larkcrank/routing/responses.py
@@ -8,9 +8,10 @@
 from larkcrank.protocol import http1
 from larkcrank.routing.attempt import Attempt
 from larkcrank.routing.exchange import Exchange
+from larkcrank.transport.answers import AnswerRecords, CarriedAnswer
 from larkcrank.transport.closing import CloseReason
 from larkcrank.transport.connection import Connection, ConnectionLostError, IdleInput
-from larkcrank.transport.reuse import CarriedAnswer, ReuseGuard
+from larkcrank.transport.reuse import ReuseGuard
 
 
 class CheckCounters(Protocol):
@@ -26,12 +27,14 @@
     def __init__(
         self,
         guard: ReuseGuard,
+        records: AnswerRecords,
         max_body: int,
         clock: Callable[[], float],
         counters: CheckCounters,
         report_event: Callable[..., None],
     ) -> None:
         self._guard = guard
+        self._records = records
         self._max_body = max_body
         self._clock = clock
         self._counters = counters
@@ -56,9 +59,9 @@
         if not parser.complete or not attempt.fully_written:
             return False
         earlier = connection.answers.find(parser.content_digest())
-        if earlier is not None and self._guard.is_copy(earlier, attempt.exchange.request.target):
+        if earlier is not None and self._records.is_copy(earlier, attempt.exchange.request.target):
             late_ms = self._clock() - earlier.arrived_at
-            if not self._guard.knows_answers:  # only safe requests reuse connections then
+            if not self._records.knows_answers:  # only safe requests reuse connections then
                 raise ConnectionLostError("the answer may be a copy of an earlier one")
             attempt.skipped_answer = True
             self.record_stray(attempt.address, connection, late_ms, "copy", attempt.exchange)
@@ -72,7 +75,7 @@
         that it was not the answer to this request.
         """
         exchange = attempt.exchange
-        hold_ms = self._guard.times_of(exchange.class_index).hold_ms(attempt.answer_time_ms)
+        hold_ms = self._records.times_of(exchange.class_index).hold_ms(attempt.answer_time_ms)
         hold_ms = min(hold_ms, attempt.time_left_ms() / 2)
         if hold_ms <= 0.0 or parser.has_extra_bytes:
             return False
@@ -104,12 +107,12 @@
 
     def remember(self, attempt: Attempt, connection: Connection, digest: int, has_body: bool) -> None:
         connection.last_answer_at = attempt.answered_at
-        self._guard.times_of(attempt.exchange.class_index).add(attempt.answer_time_ms)
+        self._records.times_of(attempt.exchange.class_index).add(attempt.answer_time_ms)
         if has_body:
             class_index = attempt.exchange.class_index
             answer = CarriedAnswer(self._clock(), class_index, attempt.exchange.request.target)
             connection.answers.add(digest, answer)
-            self._guard.add_answer(class_index, digest, connection.number)
+            self._records.add_answer(class_index, digest, connection.number)
 
     def record_stray(
         self, address: Address, connection: Connection, late_ms: float, where: str, exchange: Exchange | None
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -14,6 +14,7 @@
 from larkcrank.routing.probes import ProbeCounters, Prober
 from larkcrank.routing.responses import CheckCounters, ResponseChecker
 from larkcrank.routing.trace import AttemptRecord, RecentAttempts
+from larkcrank.transport.answers import AnswerRecords
 from larkcrank.transport.budget import BufferBudget
 from larkcrank.transport.closing import CloseReason
 from larkcrank.transport.connection import (
@@ -61,7 +62,10 @@
     ) -> None:
         self._pool = pool
         self._reuse_guard = ReuseGuard()
-        self._checker = ResponseChecker(self._reuse_guard, max_body, clock, counters, report_event)
+        self._answer_records = AnswerRecords()
+        self._checker = ResponseChecker(
+            self._reuse_guard, self._answer_records, max_body, clock, counters, report_event
+        )
         self._prober = Prober(descriptors, connect_timeout_ms, load_fields, counters, report_failure)
         pool.on_stray_answer = self._stray_answer_at_rest
         # If set, only a drain stops requests to a server. A server that is missing from the list, or listed
@@ -210,7 +214,7 @@
         self._record(attempt, result)
         if attempt.skipped_answer and result is Result.TIMEOUT:
             # No other answer has come, so the skipped one was no copy.
-            self._reuse_guard.record_no_copy(attempt.exchange.class_index)
+            self._answer_records.record_no_copy(attempt.exchange.class_index)
         past_connect_timeout = self._clock() - attempt.started_at > self._connect_timeout_ms
         unanswered = (
             attempt.fully_written
@@ -419,7 +423,7 @@
         exchange = attempt.exchange
         if exchange.streaming:
             return None  # A stray answer would be passed on before it could be told from the true one.
-        if exchange.effect is not Effect.SAFE and not self._reuse_guard.knows_answers:
+        if exchange.effect is not Effect.SAFE and not self._answer_records.knows_answers:
             return None  # A copy of an earlier answer would not be recognized yet.
         rest_ms = self._reuse_guard.required_rest_ms(attempt.address, self._clock())
         if rest_ms == math.inf:
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -10,9 +10,9 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from larkcrank.transport.answers import AnswerHistory
 from larkcrank.transport.closing import CloseReason
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
-from larkcrank.transport.reuse import AnswerHistory
 
 READ_CHUNK_BYTES = 64 * 1024
 # The flags are combined once, because combining the enum members costs more than the system call.
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -82,7 +82,7 @@
         1,
         2,
     ):  # before it is known that answers repeat, only safe requests use it again
-        bed.sidecar._servers._reuse_guard.add_answer(0, digest=1, connection_number=connection_number)
+        bed.sidecar._servers._answer_records.add_answer(0, digest=1, connection_number=connection_number)
 
 
 LONG_BODY_BYTES = 200_000  # Length of a body that is forwarded while it is received.
--- a/tests/test_reuse.py
+++ b/tests/test_reuse.py
@@ -6,31 +6,32 @@
 import pytest
 
 from larkcrank.protocol import http1
-from larkcrank.transport import reuse
-from larkcrank.transport.reuse import CarriedAnswer, ReuseGuard
+from larkcrank.transport import answers, reuse
+from larkcrank.transport.answers import AnswerRecords, CarriedAnswer
+from larkcrank.transport.reuse import ReuseGuard
 from tests import bed as testbed
 
 EARLIER = CarriedAnswer(arrived_at=0.0, class_index=0, target=b"/view/1")
 
 
 def test_an_answer_is_a_copy_only_where_answers_differ_from_request_to_request() -> None:
-    guard = ReuseGuard()
-    assert guard.is_copy(EARLIER, b"/view/2") and not guard.is_copy(EARLIER, b"/view/1")
-    for number in range(reuse.MIN_DISTINCT_ANSWERS):
-        guard.add_answer(0, digest=number, connection_number=1)
-    assert guard.knows_answers and guard.is_copy(EARLIER, b"/view/1")
-    guard.add_answer(0, digest=1, connection_number=1)  # a copy itself, perhaps
-    assert guard.is_copy(EARLIER, b"/view/1")
-    guard.add_answer(0, digest=1, connection_number=2)
-    assert not guard.is_copy(EARLIER, b"/view/2")
+    records = AnswerRecords()
+    assert records.is_copy(EARLIER, b"/view/2") and not records.is_copy(EARLIER, b"/view/1")
+    for number in range(answers.MIN_DISTINCT_ANSWERS):
+        records.add_answer(0, digest=number, connection_number=1)
+    assert records.knows_answers and records.is_copy(EARLIER, b"/view/1")
+    records.add_answer(0, digest=1, connection_number=1)  # a copy itself, perhaps
+    assert records.is_copy(EARLIER, b"/view/1")
+    records.add_answer(0, digest=1, connection_number=2)
+    assert not records.is_copy(EARLIER, b"/view/2")
 
 
 def test_a_class_is_not_checked_any_more_after_an_answer_that_was_no_copy() -> None:
-    guard = ReuseGuard()
-    for number in range(reuse.MIN_DISTINCT_ANSWERS):
-        guard.add_answer(0, number, 1)
-    guard.record_no_copy(0)
-    assert not guard.is_copy(EARLIER, b"/view/2")
+    records = AnswerRecords()
+    for number in range(answers.MIN_DISTINCT_ANSWERS):
+        records.add_answer(0, number, 1)
+    records.record_no_copy(0)
+    assert not records.is_copy(EARLIER, b"/view/2")
 
 
 @pytest.mark.parametrize(
@@ -58,7 +59,7 @@
 def test_a_stray_answer_that_comes_sooner_than_any_before_is_not_served(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(reuse, "MIN_TIMED_ANSWERS", 3)
+    monkeypatch.setattr(answers, "MIN_TIMED_ANSWERS", 3)
 
     async def respond(endpoint: testbed.Endpoint, request: http1.Request, writer: testbed.Writer) -> None:
         if len(endpoint.requests) > 3:
@@ -81,7 +82,7 @@
 def test_an_answer_that_comes_sooner_than_any_before_is_served_if_no_other_follows(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(reuse, "MIN_TIMED_ANSWERS", 3)
+    monkeypatch.setattr(answers, "MIN_TIMED_ANSWERS", 3)
 
     async def respond(endpoint: testbed.Endpoint, request: http1.Request, writer: testbed.Writer) -> None:
         await asyncio.sleep(0.2 if len(endpoint.requests) <= 3 else 0.0)
