--- a/tests/test_reuse.py
+++ b/tests/test_reuse.py
@@ -85,7 +85,7 @@
     monkeypatch.setattr(answers, "MIN_TIMED_ANSWERS", 3)
 
     async def respond(endpoint: testbed.Endpoint, request: http1.Request, writer: testbed.Writer) -> None:
-        await asyncio.sleep(0.2 if len(endpoint.requests) <= 3 else 0.0)
+        await asyncio.sleep(0.2 if len(endpoint.requests) <= 3 else 0.03)
         await testbed.respond_ok(endpoint, request, writer)
 
     async def scenario() -> None:
