Times of answers are learnt only from answers that are proven to be their requests' own

Cause: a late second answer that is read as the answer to the next request entered the times as the shortest, so that no answer was too soon any more; the check by content is off where answers repeat or too few are known. Evidence: the attempts recorded on such a connection took 2 ms, and each one after that as much less than its work as the connection had rested. Change: a time counts if its connection then rests for two usual times and gets nothing more, or if it was held back in vain. A first answer shapes the usual time alone. The shortest time of the endpoint counts beside that of the class, and is forgotten after 256 to 512 answers. Until 16 times are known a connection rests 20 ms before it is used again. Tests that used a connection again at once after a start tell the sidecar that times are known first; their checks are the same.

--- a/larkcrank/routing/attempt.py
+++ b/larkcrank/routing/attempt.py
@@ -27,6 +27,7 @@
         "exchange",
         "fully_written",
         "index",
+        "is_time_known",
         "is_unproven",
         "position",
         "response_started",
@@ -62,6 +63,7 @@
         self.response_started = False  # Whether a streamed response has started.
         self.ended = False
         self.is_unproven = False  # Whether the response may belong to an earlier request.
+        self.is_time_known = False  # Whether the time of its answer is recorded already.
         self.skipped_answer = False  # Whether an answer was taken for a copy of an earlier one.
         self._on_end = on_end
 
--- a/larkcrank/routing/responses.py
+++ b/larkcrank/routing/responses.py
@@ -8,7 +8,12 @@
 from larkcrank.protocol import http1
 from larkcrank.routing.attempt import Attempt
 from larkcrank.routing.exchange import Exchange
-from larkcrank.transport.answers import AnswerRecords, CarriedAnswer
+from larkcrank.transport.answers import (
+    MAX_UNPROVEN_TIMES,
+    AnswerRecords,
+    CarriedAnswer,
+    UnprovenTime,
+)
 from larkcrank.transport.closing import CloseReason
 from larkcrank.transport.connection import Connection, ConnectionLostError, IdleInput
 from larkcrank.transport.reuse import ReuseGuard
@@ -75,13 +80,18 @@
         that it was not the answer to this request.
         """
         exchange = attempt.exchange
-        hold_ms = self._records.times_of(exchange.class_index).hold_ms(attempt.answer_time_ms)
+        hold_ms = self._records.hold_ms(attempt.address, exchange.class_index, attempt.answer_time_ms)
         hold_ms = min(hold_ms, attempt.time_left_ms() / 2)
         if hold_ms <= 0.0 or parser.has_extra_bytes:
             return False
         self._counters.held_answers += 1
         await asyncio.wait((connection.start_read(),), timeout=hold_ms / 1000.0)
-        if connection.idle_input() is not IdleInput.DATA:
+        idle_input = connection.idle_input()
+        if idle_input is not IdleInput.DATA:
+            if idle_input is IdleInput.NONE:
+                time = UnprovenTime(exchange.class_index, attempt.answer_time_ms)
+                self._records.add_proven_time(attempt.address, time)
+                attempt.is_time_known = True
             return False
         parser.feed(await connection.read())
         late_ms = self._clock() - connection.last_answer_at
@@ -105,11 +115,21 @@
             return False
         return extra.complete and extra.content_digest() == parser.content_digest()
 
+    def confirm_answers(self, address: Address, connection: Connection) -> None:
+        """Record that a connection has rested so long that no answer to an earlier request is outstanding."""
+        for time in connection.unproven_times:
+            self._records.add_proven_time(address, time)
+        connection.unproven_times.clear()
+
     def remember(self, attempt: Attempt, connection: Connection, digest: int, has_body: bool) -> None:
         connection.last_answer_at = attempt.answered_at
-        self._records.times_of(attempt.exchange.class_index).add(attempt.answer_time_ms)
+        class_index = attempt.exchange.class_index
+        if not attempt.is_on_reused_connection:
+            self._records.add_first_time(class_index, attempt.answer_time_ms)
+        elif not attempt.is_time_known:
+            connection.unproven_times.append(UnprovenTime(class_index, attempt.answer_time_ms))
+            del connection.unproven_times[:-MAX_UNPROVEN_TIMES]
         if has_body:
-            class_index = attempt.exchange.class_index
             answer = CarriedAnswer(self._clock(), class_index, attempt.exchange.request.target)
             connection.answers.add(digest, answer)
             self._records.add_answer(class_index, digest, connection.number)
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -25,7 +25,7 @@
 )
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
 from larkcrank.transport.pool import ConnectionPool
-from larkcrank.transport.reuse import ReuseGuard
+from larkcrank.transport.reuse import MIN_REST_MS, ReuseGuard
 
 # An endpoint that does not accept one part of a body within this time is treated as failed.
 BODY_WRITE_TIMEOUT_S = 10.0
@@ -68,6 +68,7 @@
         )
         self._prober = Prober(descriptors, connect_timeout_ms, load_fields, counters, report_failure)
         pool.on_stray_answer = self._stray_answer_at_rest
+        pool.on_rested = self._checker.confirm_answers
         # If set, only a drain stops requests to a server. A server that is missing from the list, or listed
         # as gone, is still used.
         self._only_draining_binds = only_draining_binds
@@ -122,6 +123,7 @@
                 # The address now belongs to another process; connections to the old one cannot be reused.
                 self._pool.close_address(address)
                 self._reuse_guard.forget(address)
+                self._answer_records.forget(address)
             self._ready.add(address)
             self._started_at[address] = endpoint.started_at
             if host_port is not None:
@@ -131,6 +133,7 @@
         """Send no more requests to a server and close its idle connections."""
         self._ready.discard(address)
         self._pool.close_address(address)
+        self._answer_records.forget(address)
 
     def start_attempt(
         self,
@@ -417,7 +420,8 @@
         if self._reuse_guard.required_rest_ms(attempt.address, self._clock()) == math.inf:
             connection.close(CloseReason.NOT_KEPT)
         else:
-            self._pool.put(attempt.address, connection)
+            rest_ms = self._answer_records.proof_ms(attempt.exchange.class_index)
+            self._pool.put(attempt.address, connection, rest_ms / 1000.0)
 
     def _take_pooled(self, attempt: Attempt) -> Connection | None:
         exchange = attempt.exchange
@@ -428,6 +432,8 @@
         rest_ms = self._reuse_guard.required_rest_ms(attempt.address, self._clock())
         if rest_ms == math.inf:
             return None
+        if not self._answer_records.knows_times:
+            rest_ms = max(rest_ms, MIN_REST_MS)  # A stray answer could not be told by its time yet.
         attempt.connection = self._pool.take(
             attempt.address, self._host_ports[attempt.address], rest_ms / 1000.0
         )
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -10,7 +10,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from larkcrank.transport.answers import AnswerHistory
+from larkcrank.transport.answers import AnswerHistory, UnprovenTime
 from larkcrank.transport.closing import CloseReason
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
 
@@ -55,6 +55,7 @@
         self.requests_carried = 0
         self.rested_ms = 0.0  # how long it was idle before its present request; 0 if it is new
         self.answers = AnswerHistory()
+        self.unproven_times: list[UnprovenTime] = []
         self.last_answer_at = 0.0  # in ms of the process clock
         self.on_closed: Callable[[CloseReason], None] = lambda _: None
 
--- a/larkcrank/transport/pool.py
+++ b/larkcrank/transport/pool.py
@@ -15,12 +15,14 @@
 # The share of the endpoint's keepalive time for which a connection is kept here. The margin keeps the
 # endpoint from closing a connection just as a request is sent on it.
 MAX_IDLE_SHARE = 0.5
+# The share of its time limit after which the rest of a connection is reported at the latest.
+MAX_REST_SHARE = 0.5
 
 
-class _IdleEntry(msgspec.Struct, frozen=True):
+class _IdleEntry(msgspec.Struct):
     address: Address
     since_s: float  # when the connection became idle, on the event loop's clock
-    timer: asyncio.TimerHandle  # closes it at its idle time limit
+    timer: asyncio.TimerHandle  # reports its rest, or closes it at its idle time limit
 
 
 class ConnectionPool:
@@ -32,27 +34,40 @@
         self._idle: OrderedDict[Connection, _IdleEntry] = OrderedDict()
         # Called with data that an idle connection received, and how long (s) it had been idle by then.
         self.on_stray_answer: Callable[[Address, Connection, float], None] = lambda *_: None
+        # Called with a connection that has been idle for the time given to `put` and has received nothing.
+        self.on_rested: Callable[[Address, Connection], None] = lambda *_: None
         self._max_idle_s = keepalive_ms * MAX_IDLE_SHARE / 1000.0
         descriptors.register_evictor(SocketUse.ATTEMPT, self._close_longest_idle, self._longest_idle_since)
 
     def __len__(self) -> int:
         return len(self._idle)
 
-    def put(self, address: Address, connection: Connection) -> None:
-        """Add an idle connection, which is closed when its idle time limit passes."""
+    def put(self, address: Address, connection: Connection, rest_s: float) -> None:
+        """Add an idle connection, which is closed when its idle time limit passes.
+
+        After `rest_s`, or half of that limit if this is shorter, it is reported to `on_rested`.
+        """
         if connection.closed:
             connection.close(CloseReason.CLOSED_BY_PEER)
             return
-        timer = self._loop.call_later(
-            self._max_idle_s, self._remove_and_close, connection, CloseReason.IDLE_TIME
-        )
-        self._idle[connection] = _IdleEntry(address, self._loop.time(), timer)
+        now = self._loop.time()
+        rest_s = min(rest_s, self._max_idle_s * MAX_REST_SHARE)
+        timer = self._loop.call_later(rest_s, self._report_rest, connection)
+        self._idle[connection] = _IdleEntry(address, now, timer)
         # The pending read completes if the endpoint closes the connection or sends unexpected bytes. In both
         # cases the connection can't be reused.
         connection.start_read().add_done_callback(
             lambda _: self._remove_readable(connection, connection.idle_input())
         )
 
+    def _report_rest(self, connection: Connection) -> None:
+        entry = self._idle[connection]
+        entry.timer = self._loop.call_at(
+            entry.since_s + self._max_idle_s, self._remove_and_close, connection, CloseReason.IDLE_TIME
+        )
+        if connection.is_idle():
+            self.on_rested(entry.address, connection)
+
     def take(
         self, address: Address, host_port: tuple[str, int], min_rest_s: float = 0.0
     ) -> Connection | None:
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -12,6 +12,8 @@
 from larkcrank.program.log import Log
 from larkcrank.program.sidecar import Sidecar
 from larkcrank.protocol import http1
+from larkcrank.routing.servers import AttemptExecutor
+from larkcrank.transport import answers
 from tests.frames import CONFIG
 
 TEST_TIMEOUT_S = 20.0  # only ends a test that hangs
@@ -244,6 +246,13 @@
         self.writer.close()
 
 
+def make_times_known(attempt_executor: AttemptExecutor) -> None:
+    """Let it be known how long answers take, so that no connection has to rest before it is used again."""
+    for _ in range(answers.MIN_TIMED_ANSWERS):
+        time = answers.UnprovenTime(0, elapsed_ms=0.0)
+        attempt_executor._answer_records.add_proven_time(b"s-0", time)
+
+
 class Bed:
     """A running sidecar with its fake discovery service."""
 
@@ -267,6 +276,9 @@
         writer.close()
         return answer
 
+    def make_times_known(self) -> None:
+        make_times_known(self.sidecar._servers)
+
     def log_lines(self) -> list[dict[str, Any]]:
         return [json.loads(line) for line in self._log.getvalue().splitlines()]
 
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -76,6 +76,7 @@
     """Put an idle connection to the server into the pool, so that nothing is awaited between the choice of a
     server and the first byte.
     """
+    bed.make_times_known()
     assert (await client.call("view")).status == 200
     await testbed.until(lambda: len(bed.sidecar.pool) == 1)
     for connection_number in (
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -194,6 +194,7 @@
         may_respond = asyncio.Event()
         endpoint = testbed.Endpoint("s-1", testbed.respond_after(may_respond))
         async with testbed.bed(endpoint) as bed:
+            bed.make_times_known()
             balancer = crossing.ManualBalancer(bed)
             first, second = await bed.client(), await bed.client()
             for count, client in enumerate((first, second), 1):
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -552,6 +552,7 @@
         await endpoint.start()
 
         harness = DriverHarness(send_with_timeout(300.0), endpoint)
+        testbed.make_times_known(harness.attempt_executor)
         first, second = harness.start_request(), harness.start_request()
         await asyncio.gather(first.response_future(), second.response_future())
         assert len(harness.pool) == 2
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -172,6 +172,7 @@
     async def work() -> None:
         one = b.Endpoint("s-1")
         async with b.bed(one) as bed:
+            bed.make_times_known()
             client = await bed.client()
             lines = [
                 b"Transfer-Encoding: chunked" if is_chunked else b"Content-Length: %d" % len(LONG_BODY),
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -19,6 +19,7 @@
     async def work() -> None:
         one = b.Endpoint("s-1")
         async with b.bed(one) as bed:
+            bed.make_times_known()
             client = await bed.client()
             client.send("book", 8.0, "POST", KEY, b"X-Mine:  as it came", body=b"ink")
             answer = await client.read_response()
