The lateness of a held stray answer ends when it came, not when the true answer follows

Seen on reading: an answer that came too soon was held, and its lateness was taken at the arrival of the next answer, so the whole time of the true answer was added. Connections to the endpoint then rested four times that, or were not kept for 60 s. Measured: the added check of test_reuse fails before (late_ms over 200) and passes after.

--- a/larkcrank/routing/responses.py
+++ b/larkcrank/routing/responses.py
@@ -94,7 +94,7 @@
                 attempt.is_time_known = True
             return False
         parser.feed(await connection.read())
-        late_ms = self._clock() - connection.last_answer_at
+        late_ms = attempt.answered_at - connection.last_answer_at
         self.record_stray(attempt.address, connection, late_ms, "too soon", exchange)
         return True
 
--- a/tests/test_reuse.py
+++ b/tests/test_reuse.py
@@ -91,6 +91,8 @@
             assert (await client.call("view")).body == b"made by /view/1"
             counters = bed.sidecar.counters
             assert counters.held_answers == counters.stray_answers == 1 and endpoint.connections_opened == 1
+            (stray,) = [line for line in bed.log_lines() if line["event"] == "stray_answer"]
+            assert 40.0 <= stray["late_ms"] < 200.0  # the rest before, without the time of the true answer
 
     testbed.run(scenario())
 
