A doubtful answer is given to its client if no other one follows it

Callers saw: where a true answer equalled an earlier one of its connection, 504; and after one such case its class was never checked for copies again. Cause: the answer was skipped at once and the wait for its successor had no end but the attempt's; record_no_copy unguarded the class for good, and the request's class where the answer was another's. Change: equal and too soon answers are both held back (half of the time left, four usual times) and dropped only when another answer has come. One held in vain counts as a repetition of the earlier answer's class, which is checked again once these are rarer than one in a hundred.

--- a/larkcrank/program/counters.py
+++ b/larkcrank/program/counters.py
@@ -25,7 +25,7 @@
     connects: int = 0  # connections opened for attempts
     reuses: int = 0  # attempts on a pooled connection
     stray_answers: int = 0  # answers from servers, or beginnings of such, that no request had asked for
-    held_answers: int = 0  # answers that came so soon that they were held back to see if another follows
+    held_answers: int = 0  # doubtful answers that were held back to see if another follows
     lists: int = 0  # server lists received from discovery
     discovery_calls: int = 0
     discovery_failures: int = 0
--- a/larkcrank/routing/attempt.py
+++ b/larkcrank/routing/attempt.py
@@ -32,7 +32,6 @@
         "position",
         "response_started",
         "rested_ms",
-        "skipped_answer",
         "started_at",
         "timer",
         "writing_started",
@@ -64,7 +63,6 @@
         self.ended = False
         self.is_unproven = False  # Whether the response may belong to an earlier request.
         self.is_time_known = False  # Whether the time of its answer is recorded already.
-        self.skipped_answer = False  # Whether an answer was taken for a copy of an earlier one.
         self._on_end = on_end
 
     @property
--- a/larkcrank/routing/responses.py
+++ b/larkcrank/routing/responses.py
@@ -1,9 +1,12 @@
 """Tells whether a response on a reused connection is the answer to the request that was sent on it."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Protocol
 
+import msgspec
+
 from larkcrank.core.interface import Address
 from larkcrank.protocol import http1
 from larkcrank.routing.attempt import Attempt
@@ -26,6 +29,15 @@
     held_answers: int
 
 
+class _Doubt(msgspec.Struct, frozen=True):
+    """Why a response may be the answer to an earlier request."""
+
+    reason: str  # as it stands in the log
+    late_ms: float  # after the last answer on its connection, or after the answer that it equals
+    hold_ms: float
+    earlier: CarriedAnswer | None = None  # the answer that it equals
+
+
 class ResponseChecker:
     """Checks responses against what their connection has carried, and records stray answers."""
 
@@ -45,58 +57,91 @@
         self._counters = counters
         self._report_event = report_event
 
-    async def is_stray(self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser) -> bool:
-        """Read a response up to its head and, on a reused connection, up to its end if it is short. Return
-        whether it is the answer to an earlier request, so that the next one has to be read.
+    async def read_answer(self, attempt: Attempt, connection: Connection) -> http1.ResponseParser:
+        """Return the parser of the response that is taken for the answer to the request.
+
+        It has read the head and, on a reused connection, the whole response if that is short. A doubtful
+        response is held back, and is only the answer if no other one follows it.
         """
+        parser = http1.ResponseParser(math.inf if attempt.exchange.streaming else self._max_body)
+        while True:
+            await self._read_response(attempt, connection, parser)
+            doubt = self._doubt_about(attempt, connection, parser)
+            if doubt is None:
+                return parser
+            following_bytes = await self._wait_for_another(attempt, connection, parser, doubt)
+            if not following_bytes:
+                return parser
+            self.record_stray(attempt.address, connection, doubt.late_ms, doubt.reason, attempt.exchange)
+            parser = http1.ResponseParser(self._max_body)
+            parser.feed(following_bytes)
+
+    async def _read_response(
+        self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser
+    ) -> None:
         while parser.head is None:
             parser.feed(await connection.read())
         attempt.answered_at = self._clock()
         is_long = (parser.head.content_length or 0) > http1.MAX_BUFFERED_BODY_BYTES
         if not attempt.is_on_reused_connection or parser.head.status != 200 or is_long:
-            return False
+            return
         while not parser.complete and parser.buffered_bytes <= http1.MAX_BUFFERED_BODY_BYTES:
             try:
                 parser.feed(await connection.read())
             except ConnectionLostError as error:
                 if not error.is_clean_close or not parser.handle_clean_close():
                     raise
-        if not parser.complete or not attempt.fully_written:
-            return False
+
+    def _doubt_about(
+        self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser
+    ) -> _Doubt | None:
+        """Return why a response may be the answer to an earlier request, or None."""
+        is_whole = parser.complete and attempt.fully_written
+        if (
+            not attempt.is_on_reused_connection
+            or not is_whole
+            or parser.head is None
+            or parser.head.status != 200
+        ):
+            return None
+        exchange, time_left_ms = attempt.exchange, attempt.time_left_ms()
         earlier = connection.answers.find(parser.content_digest())
-        if earlier is not None and self._records.is_copy(earlier, attempt.exchange.request.target):
-            late_ms = self._clock() - earlier.arrived_at
+        if earlier is not None and self._records.is_copy(earlier, exchange.request.target):
             if not self._records.knows_answers:  # only safe requests reuse connections then
                 raise ConnectionLostError("the answer may be a copy of an earlier one")
-            attempt.skipped_answer = True
-            self.record_stray(attempt.address, connection, late_ms, "copy", attempt.exchange)
-            return True
-        return await self._is_followed_by_another(attempt, connection, parser)
-
-    async def _is_followed_by_another(
-        self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser
-    ) -> bool:
-        """Hold back an answer that came sooner than any before. Return whether another one follows it, so
-        that it was not the answer to this request.
-        """
-        exchange = attempt.exchange
+            late_ms = self._clock() - earlier.arrived_at
+            hold_ms = (time_left_ms or exchange.client_timeout_ms) / 2
+            return _Doubt("copy", late_ms, hold_ms, earlier)
         hold_ms = self._records.hold_ms(attempt.address, exchange.class_index, attempt.answer_time_ms)
-        hold_ms = min(hold_ms, attempt.time_left_ms() / 2)
+        hold_ms = min(hold_ms, time_left_ms / 2)
         if hold_ms <= 0.0 or parser.has_extra_bytes:
-            return False
+            return None
+        return _Doubt("too soon", attempt.answered_at - connection.last_answer_at, hold_ms)
+
+    async def _wait_for_another(
+        self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser, doubt: _Doubt
+    ) -> bytes:
+        """Hold a doubtful response back. Return the beginning of the one that follows it, if one does."""
+        if parser.has_extra_bytes:
+            return parser.take_extra_bytes()
         self._counters.held_answers += 1
-        await asyncio.wait((connection.start_read(),), timeout=hold_ms / 1000.0)
+        await asyncio.wait((connection.start_read(),), timeout=doubt.hold_ms / 1000.0)
         idle_input = connection.idle_input()
-        if idle_input is not IdleInput.DATA:
-            if idle_input is IdleInput.NONE:
-                time = UnprovenTime(exchange.class_index, attempt.answer_time_ms)
-                self._records.add_proven_time(attempt.address, time)
-                attempt.is_time_known = True
-            return False
-        parser.feed(await connection.read())
-        late_ms = attempt.answered_at - connection.last_answer_at
-        self.record_stray(attempt.address, connection, late_ms, "too soon", exchange)
-        return True
+        if idle_input is IdleInput.DATA:
+            return await connection.read()
+        if idle_input is IdleInput.NONE:
+            self._record_true(attempt, doubt)
+        elif doubt.earlier is not None:
+            raise ConnectionLostError("the connection ended behind an answer that may be a copy")
+        return b""
+
+    def _record_true(self, attempt: Attempt, doubt: _Doubt) -> None:
+        """Record that a doubtful response was the answer to its request."""
+        if doubt.earlier is not None:
+            self._records.record_repetition(doubt.earlier.class_index)
+        time = UnprovenTime(attempt.exchange.class_index, attempt.answer_time_ms)
+        self._records.add_proven_time(attempt.address, time)
+        attempt.is_time_known = True
 
     def may_believe(self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser) -> bool:
         """Return whether a response that is followed by further bytes is the answer to this request.
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -215,9 +215,6 @@
         if attempt.exchange.upload is not None:
             attempt.exchange.upload.end_reader()
         self._record(attempt, result)
-        if attempt.skipped_answer and result is Result.TIMEOUT:
-            # No other answer has come, so the skipped one was no copy.
-            self._answer_records.record_no_copy(attempt.exchange.class_index)
         past_connect_timeout = self._clock() - attempt.started_at > self._connect_timeout_ms
         unanswered = (
             attempt.fully_written
@@ -358,11 +355,7 @@
         long, or of a streaming class, is passed on in parts.
         """
         exchange = attempt.exchange
-        parser = http1.ResponseParser(math.inf if exchange.streaming else self._max_body)
-        while await self._checker.is_stray(attempt, connection, parser):
-            extra_bytes = parser.take_extra_bytes()
-            parser = http1.ResponseParser(self._max_body)
-            parser.feed(extra_bytes)
+        parser = await self._checker.read_answer(attempt, connection)
         assert parser.head is not None
         result = platform.classify_response(parser.head)
         if result is Result.OK and attempt.is_on_reused_connection and not attempt.fully_written:
--- a/larkcrank/transport/answers.py
+++ b/larkcrank/transport/answers.py
@@ -63,7 +63,7 @@
     def __init__(self) -> None:
         self._connections: OrderedDict[int, int] = OrderedDict()  # digest: connection that carried it first
         self._distinct = 0
-        self._repeated: float = 0
+        self._repeated = 0
 
     @property
     def is_known(self) -> bool:
@@ -86,9 +86,9 @@
         elif first_connection != connection_number:
             self._repeated += 1
 
-    def record_no_copy(self) -> None:
-        """Record that an answer taken for a copy was none, so that these answers are not checked any more."""
-        self._repeated = math.inf
+    def record_repetition(self) -> None:
+        """Record that an answer that could have been a copy was made for its request."""
+        self._repeated += 1
 
 
 class UnprovenTime(msgspec.Struct, frozen=True):
@@ -160,9 +160,10 @@
         self._all_answers.add(digest, connection_number)
         self._variety_of(class_index).add(digest, connection_number)
 
-    def record_no_copy(self, class_index: int) -> None:
-        """Record that an answer of this class that was taken for a copy was none."""
-        self._variety_of(class_index).record_no_copy()
+    def record_repetition(self, class_index: int) -> None:
+        """Record that an answer equal to an earlier one of this class was made for its request."""
+        self._all_answers.record_repetition()
+        self._variety_of(class_index).record_repetition()
 
     def is_copy(self, earlier: CarriedAnswer, target: bytes) -> bool:
         """Return whether an answer equal to an `earlier` one on its connection is a copy of that.
--- a/tests/test_reuse.py
+++ b/tests/test_reuse.py
@@ -27,12 +27,15 @@
     assert not records.is_copy(EARLIER, b"/view/2")
 
 
-def test_a_class_is_not_checked_any_more_after_an_answer_that_was_no_copy() -> None:
+def test_a_class_is_not_checked_while_more_than_rarely_an_answer_was_no_copy() -> None:
     records = AnswerRecords()
     for number in range(answers.MIN_DISTINCT_ANSWERS):
         records.add_answer(0, number, 1)
-    records.record_no_copy(0)
+    records.record_repetition(0)
     assert not records.is_copy(EARLIER, b"/view/2")
+    for number in range(round(1 / answers.MAX_REPEATED_SHARE)):
+        records.add_answer(0, 1000 + number, 1)
+    assert records.is_copy(EARLIER, b"/view/2")
 
 
 @pytest.mark.parametrize(
@@ -156,3 +159,28 @@
             assert endpoint.connections_opened == 1 and len(times) == (0 if is_followed else 1)
 
     testbed.run(scenario())
+
+
+def test_an_answer_that_equals_an_earlier_one_by_right_is_served_and_copies_are_still_detected() -> None:
+    bodies = [b"first", b"first", b"third"]
+
+    async def respond(endpoint: testbed.Endpoint, request: http1.Request, writer: testbed.Writer) -> None:
+        number = len(endpoint.requests) - 1
+        if number == 2:
+            writer.write(http1.encode_response(200, (), bodies[0]))  # a copy of an earlier answer
+            await asyncio.sleep(0.02)
+        writer.write(http1.encode_response(200, (), bodies[number]))
+
+    async def scenario() -> None:
+        endpoint = testbed.Endpoint("s-1", respond)
+        async with testbed.bed(endpoint) as bed:
+            bed.make_times_known()
+            for digest in range(300):
+                bed.sidecar._servers._answer_records.add_answer(1, digest, connection_number=0)
+            client = await bed.client()
+            for body in bodies:
+                response = await client.call("take", timeout_s=4.0)
+                assert (response.status, response.body) == (200, body)
+            assert bed.sidecar.counters.stray_answers == 1 and endpoint.connections_opened == 1
+
+    testbed.run(scenario())
