--- /dev/null
+++ b/larkcrank/routing/relay.py
@@ -0,0 +1,84 @@
+"""Forwards the response to an attempt to the client side while it arrives."""
+
+import asyncio
+from collections.abc import Callable
+from functools import partial
+
+from larkcrank.core.interface import Result
+from larkcrank.protocol import http1, platform
+from larkcrank.routing.attempt import Attempt
+from larkcrank.routing.exchange import Exchange
+from larkcrank.transport.budget import BufferBudget
+from larkcrank.transport.connection import Connection, ConnectionLostError
+
+# Time without a byte of a streamed response after which its endpoint counts as gone.
+STREAM_READ_TIMEOUT_S = 20.0
+
+
+class StreamRelay:
+    """Forwards streamed responses, and holds no more of them than the memory budget allows."""
+
+    def __init__(
+        self,
+        budget: BufferBudget,
+        load_fields: tuple[str, ...],
+        report_start: Callable[[Attempt], None],
+    ) -> None:
+        self._budget = budget
+        self._load_fields = load_fields
+        self._report_start = report_start
+
+    async def relay(self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser) -> None:
+        """Forward a response whose head has arrived, and end the attempt.
+
+        From the first part on, neither the deadline nor the attempt's timeout applies.
+        """
+        exchange, head = attempt.exchange, parser.head
+        if attempt.ended or head is None:
+            return
+        if not exchange.begin_stream(200, head.fields.forwarded_lines(), head.content_length):
+            attempt.end(Result.CANCELLED)
+            return
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        attempt.response_started = True
+        exchange.on_client_gone = partial(attempt.end, Result.CANCELLED)
+        self._report_start(attempt)
+        try:
+            is_whole = await self._relay_parts(exchange, connection, parser)
+            if exchange.stream_broken:  # The client has disconnected.
+                attempt.end(Result.CANCELLED)
+                return
+        except ConnectionLostError as error:
+            is_whole = error.is_clean_close and parser.handle_clean_close()
+        except (TimeoutError, http1.MessageError):
+            is_whole = False
+        exchange.end_stream(complete=is_whole)
+        if is_whole:
+            attempt.end(Result.OK, platform.read_load_report(head.fields, self._load_fields))
+        else:
+            attempt.end(Result.RESET)
+
+    async def _relay_parts(
+        self, exchange: Exchange, connection: Connection, parser: http1.ResponseParser
+    ) -> bool:
+        """Return whether the response has come whole. Stops early if the client disconnects."""
+        while True:
+            await self._relay_part(exchange, parser.take_body())
+            if parser.complete or exchange.stream_broken:
+                return parser.complete
+            async with asyncio.timeout(STREAM_READ_TIMEOUT_S):
+                data = await connection.read(self._budget.read_size)
+            parser.feed(data)
+
+    async def _relay_part(self, exchange: Exchange, data: bytes) -> None:
+        """Pass one part of the body to the client side. The part counts against the memory budget until the
+        client side accepts it.
+        """
+        if not data:
+            return
+        self._budget.reserve(len(data))
+        try:
+            await exchange.add_stream_part(data)
+        finally:
+            self._budget.release(len(data))
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -3,15 +3,16 @@
 import asyncio
 import math
 from collections.abc import Callable
-from functools import partial
 from typing import Protocol
 
-from larkcrank.core.interface import Address, Effect, Result, State
+from larkcrank.core.interface import Address, Result, State
 from larkcrank.protocol import http1, platform
 from larkcrank.protocol.discovery import ListUpdate
 from larkcrank.routing.attempt import Attempt
+from larkcrank.routing.connections import AttemptConnections, ConnectionCounters
 from larkcrank.routing.exchange import Exchange, Upload, UploadReader
 from larkcrank.routing.probes import ProbeCounters, Prober
+from larkcrank.routing.relay import StreamRelay
 from larkcrank.routing.responses import CheckCounters, ResponseChecker
 from larkcrank.routing.trace import AttemptRecord, RecentAttempts
 from larkcrank.transport.answers import AnswerRecords
@@ -21,26 +22,19 @@
     Connection,
     ConnectionLostError,
     NoDescriptorError,
-    PendingConnection,
 )
-from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
+from larkcrank.transport.descriptors import DescriptorBudget
 from larkcrank.transport.pool import ConnectionPool
-from larkcrank.transport.reuse import MIN_REST_MS, ReuseGuard
+from larkcrank.transport.reuse import ReuseGuard
 
 # An endpoint that does not accept one part of a body within this time is treated as failed.
 BODY_WRITE_TIMEOUT_S = 10.0
-# Time without a byte of a streamed response after which its endpoint counts as gone.
-STREAM_READ_TIMEOUT_S = 20.0
 
 
-class ServerCounters(ProbeCounters, CheckCounters, Protocol):
+class ServerCounters(ProbeCounters, CheckCounters, ConnectionCounters, Protocol):
     """Counters that the server side increments."""
 
     sends: int
-    connects: int
-    reuses: int
-
-    def close(self, reason: CloseReason) -> None: ...
 
 
 class AttemptExecutor:
@@ -60,23 +54,23 @@
         only_draining_binds: bool = False,
         report_event: Callable[..., None] = lambda *_, **__: None,
     ) -> None:
-        self._pool = pool
-        self._reuse_guard = ReuseGuard()
-        self._answer_records = AnswerRecords()
+        reuse_guard, self._answer_records = ReuseGuard(), AnswerRecords()
         self._checker = ResponseChecker(
-            self._reuse_guard, self._answer_records, max_body, clock, counters, report_event
+            reuse_guard, self._answer_records, max_body, clock, counters, report_event
+        )
+        self._connections = AttemptConnections(
+            pool, descriptors, connect_timeout_ms, reuse_guard, self._answer_records, clock, counters
         )
+        self._relay = StreamRelay(budget, load_fields, lambda attempt: self.on_stream_started(attempt))
         self._prober = Prober(descriptors, connect_timeout_ms, load_fields, counters, report_failure)
         pool.on_stray_answer = self._stray_answer_at_rest
         pool.on_rested = self._checker.confirm_answers
         # If set, only a drain stops requests to a server. A server that is missing from the list, or listed
         # as gone, is still used.
         self._only_draining_binds = only_draining_binds
-        self._descriptors = descriptors
         self._connect_timeout_ms = connect_timeout_ms
         self._load_fields = load_fields
         self._max_body = max_body
-        self._budget = budget
         self._clock = clock
         self._counters = counters
         self._report_failure = report_failure
@@ -86,7 +80,6 @@
         self._ready: set[Address] = set()  # The servers to which requests may be sent.
         self._attempts: dict[tuple[int, int], Attempt] = {}  # By request id and attempt index.
         self._tasks: set[asyncio.Task[None]] = set()
-        self._last_connection_number = 0
         self.recent_attempts = RecentAttempts()
         self.on_outcome: Callable[[Attempt, Result, tuple[float, ...]], None] = lambda *_: None
         self.on_stream_started: Callable[[Attempt], None] = lambda _: None
@@ -121,9 +114,7 @@
                 self._started_at.get(address, endpoint.started_at) != endpoint.started_at
             ):
                 # The address now belongs to another process; connections to the old one cannot be reused.
-                self._pool.close_address(address)
-                self._reuse_guard.forget(address)
-                self._answer_records.forget(address)
+                self._connections.forget(address)
             self._ready.add(address)
             self._started_at[address] = endpoint.started_at
             if host_port is not None:
@@ -132,8 +123,7 @@
     def _retire(self, address: Address) -> None:
         """Send no more requests to a server and close its idle connections."""
         self._ready.discard(address)
-        self._pool.close_address(address)
-        self._answer_records.forget(address)
+        self._connections.retire(address)
 
     def start_attempt(
         self,
@@ -193,7 +183,7 @@
 
     def close_idle(self, address: Address) -> None:
         """Close the idle connections to one server."""
-        self._pool.close_address(address)
+        self._connections.close_idle(address)
 
     def probe(self, address: Address) -> None:
         """Start a probe of one server. Its result goes to `on_probe_result`."""
@@ -227,7 +217,7 @@
             # What broke one connection has probably broken all connections to this server, and a machine that
             # does not respond may be gone. Once the idle ones are closed, the next attempt opens a new one.
             # If that fails, its request certainly did not run; on a broken reused connection it might have.
-            self._pool.close_address(attempt.address)
+            self._connections.close_idle(attempt.address)
         self.on_outcome(attempt, result, load)
 
     def _record(self, attempt: Attempt, result: Result) -> None:
@@ -272,9 +262,10 @@
         """Connect, send the request and handle the response. Raises an error if the attempt fails."""
         if not self._may_start_writing(attempt):
             return  # Checked before taking a pooled connection, which other attempts may need.
-        connection = self._take_pooled(attempt)
+        host_port = self._host_ports[attempt.address]
+        connection = self._connections.take_idle(attempt, host_port)
         if connection is None:
-            connection = await self._open_connection(attempt)
+            connection = await self._connections.open(attempt, host_port)
             if not self._may_start_writing(attempt):
                 return
         # There is no await between the last check and writing the first byte, so the check still holds
@@ -386,7 +377,7 @@
         if attempt.ended:
             return
         if result is Result.OK and (exchange.streaming or not parser.complete):
-            await self._relay_stream(attempt, connection, parser)
+            await self._relay.relay(attempt, connection, parser)
             return
         if not parser.complete:
             attempt.end(result)  # The rest of a long error response is not needed.
@@ -400,97 +391,9 @@
             # An endpoint that reports a failure may still run the request, so only a success leaves the
             # connection free for another one.
             if response.keep_alive and (send_task is None or attempt.fully_written):
-                self._keep(attempt, connection)
+                self._connections.keep(attempt, connection)
             exchange.respond(200, response.fields.forwarded_lines(), response.body)
         attempt.end(result, platform.read_load_report(response.fields, self._load_fields))
 
     def _stray_answer_at_rest(self, address: Address, connection: Connection, idle_s: float) -> None:
         self._checker.record_stray(address, connection, idle_s * 1000.0, "at rest", None)
-
-    def _keep(self, attempt: Attempt, connection: Connection) -> None:
-        """Return a connection to the pool, unless its endpoint's connections may not be used again."""
-        attempt.connection = None
-        if self._reuse_guard.required_rest_ms(attempt.address, self._clock()) == math.inf:
-            connection.close(CloseReason.NOT_KEPT)
-        else:
-            rest_ms = self._answer_records.proof_ms(attempt.exchange.class_index)
-            self._pool.put(attempt.address, connection, rest_ms / 1000.0)
-
-    def _take_pooled(self, attempt: Attempt) -> Connection | None:
-        exchange = attempt.exchange
-        if exchange.streaming:
-            return None  # A stray answer would be passed on before it could be told from the true one.
-        if exchange.effect is not Effect.SAFE and not self._answer_records.knows_answers:
-            return None  # A copy of an earlier answer would not be recognized yet.
-        rest_ms = self._reuse_guard.required_rest_ms(attempt.address, self._clock())
-        if rest_ms == math.inf:
-            return None
-        if not self._answer_records.knows_times:
-            rest_ms = max(rest_ms, MIN_REST_MS)  # A stray answer could not be told by its time yet.
-        attempt.connection = self._pool.take(
-            attempt.address, self._host_ports[attempt.address], rest_ms / 1000.0
-        )
-        self._counters.reuses += attempt.connection is not None
-        return attempt.connection
-
-    async def _open_connection(self, attempt: Attempt) -> Connection:
-        self._counters.connects += 1
-        pending_connection = PendingConnection(
-            self._host_ports[attempt.address], self._descriptors, SocketUse.ATTEMPT
-        )
-        attempt.connection = connection = pending_connection.connection
-        self._last_connection_number += 1
-        connection.number, connection.on_closed = self._last_connection_number, self._counters.close
-        return await pending_connection.wait(self._connect_timeout_ms)
-
-    async def _relay_stream(
-        self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser
-    ) -> None:
-        """Forward a streamed response. From its first part on, neither the deadline nor the attempt's timeout
-        applies.
-        """
-        exchange, head = attempt.exchange, parser.head
-        if attempt.ended or head is None:
-            return
-        if not exchange.begin_stream(200, head.fields.forwarded_lines(), head.content_length):
-            attempt.end(Result.CANCELLED)
-            return
-        if attempt.timer is not None:
-            attempt.timer.cancel()
-        attempt.response_started = True
-        exchange.on_client_gone = partial(attempt.end, Result.CANCELLED)
-        self.on_stream_started(attempt)
-        try:
-            while True:
-                await self._relay_part(exchange, parser.take_body())
-                if exchange.stream_broken:  # The client has disconnected.
-                    attempt.end(Result.CANCELLED)
-                    return
-                if parser.complete:
-                    break
-                async with asyncio.timeout(STREAM_READ_TIMEOUT_S):
-                    data = await connection.read(self._budget.read_size)
-                parser.feed(data)
-        except ConnectionLostError as error:
-            if not (error.is_clean_close and parser.handle_clean_close()):
-                exchange.end_stream(complete=False)
-                attempt.end(Result.RESET)
-                return
-        except (TimeoutError, http1.MessageError):
-            exchange.end_stream(complete=False)
-            attempt.end(Result.RESET)
-            return
-        exchange.end_stream(complete=True)
-        attempt.end(Result.OK, platform.read_load_report(head.fields, self._load_fields))
-
-    async def _relay_part(self, exchange: Exchange, data: bytes) -> None:
-        """Pass one part of the body to the client side. The part counts against the memory budget until the
-        client side accepts it.
-        """
-        if not data:
-            return
-        self._budget.reserve(len(data))
-        try:
-            await exchange.add_stream_part(data)
-        finally:
-            self._budget.release(len(data))
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -451,7 +451,7 @@
 
         harness = DriverHarness(send_to_only_server, endpoint)
         harness.pool.close()
-        harness.attempt_executor._pool = harness.pool = ConnectionPool(
+        harness.attempt_executor._connections.pool = harness.pool = ConnectionPool(
             DescriptorBudget(256), keepalive_ms=40.0
         )
         await harness.start_request().response_future()
