A long answer to a slow client counts with all that it holds against the memory budget

Cause: one part of up to 64 KiB was counted for each such answer, while the stream, its parser, the queue, the write, its chunk and the request's body hold about 450 KB; reads never became small. Change: six reads and the body count, renewed at each read. The new test of test_long times out before and passes after.

--- a/larkcrank/routing/relay.py
+++ b/larkcrank/routing/relay.py
@@ -8,7 +8,7 @@
 from larkcrank.protocol import http1, platform
 from larkcrank.routing.attempt import Attempt
 from larkcrank.routing.exchange import Exchange
-from larkcrank.transport.budget import BufferBudget
+from larkcrank.transport.budget import BufferBudget, StreamReservation
 from larkcrank.transport.connection import Connection, ConnectionLostError
 
 # Time without a byte of a streamed response after which its endpoint counts as gone.
@@ -44,8 +44,9 @@
         attempt.response_started = True
         exchange.on_client_gone = partial(attempt.end, Result.CANCELLED)
         self._report_start(attempt)
+        reservation = StreamReservation(self._budget)
         try:
-            is_whole = await self._relay_parts(exchange, connection, parser)
+            is_whole = await self._relay_parts(exchange, connection, parser, reservation)
             if exchange.stream_broken:  # The client has disconnected.
                 attempt.end(Result.CANCELLED)
                 return
@@ -53,32 +54,28 @@
             is_whole = error.is_clean_close and parser.handle_clean_close()
         except (TimeoutError, http1.MessageError):
             is_whole = False
+        finally:
+            reservation.release()
         exchange.end_stream(complete=is_whole)
         if is_whole:
             attempt.end(Result.OK, platform.read_load_report(head.fields, self._load_fields))
         else:
             attempt.end(Result.RESET)
 
+    @staticmethod
     async def _relay_parts(
-        self, exchange: Exchange, connection: Connection, parser: http1.ResponseParser
+        exchange: Exchange,
+        connection: Connection,
+        parser: http1.ResponseParser,
+        reservation: StreamReservation,
     ) -> bool:
         """Return whether the response has come whole. Stops early if the client disconnects."""
         while True:
-            await self._relay_part(exchange, parser.take_body())
+            read_size = reservation.reserve_read(len(exchange.request.body))
+            if part := parser.take_body():
+                await exchange.add_stream_part(part)
             if parser.complete or exchange.stream_broken:
                 return parser.complete
             async with asyncio.timeout(STREAM_READ_TIMEOUT_S):
-                data = await connection.read(self._budget.read_size)
+                data = await connection.read(read_size)
             parser.feed(data)
-
-    async def _relay_part(self, exchange: Exchange, data: bytes) -> None:
-        """Pass one part of the body to the client side. The part counts against the memory budget until the
-        client side accepts it.
-        """
-        if not data:
-            return
-        self._budget.reserve(len(data))
-        try:
-            await exchange.add_stream_part(data)
-        finally:
-            self._budget.release(len(data))
--- a/larkcrank/transport/budget.py
+++ b/larkcrank/transport/budget.py
@@ -3,6 +3,9 @@
 # The rest of the memory is left for the interpreter, the kernel's socket buffers and short messages.
 MEMORY_SHARE = 0.25
 LARGE_READ_BYTES, SMALL_READ_BYTES = 64 * 1024, 8 * 1024
+# Of a body that passes through to a slow reader, the process holds so many reads at a time: in the stream, in
+# the parser, waiting for the queue, in the queue, being written, and as the chunk of that.
+READS_HELD_PER_STREAM = 6
 
 
 class BufferBudget:
@@ -40,3 +43,24 @@
     def read_size(self) -> int:
         """The largest number of bytes that the next read may return."""
         return SMALL_READ_BYTES if self.is_used_up else LARGE_READ_BYTES
+
+
+class StreamReservation:
+    """What one body that passes through counts against a budget."""
+
+    def __init__(self, budget: BufferBudget) -> None:
+        self._budget = budget
+        self._byte_count = 0
+
+    def reserve_read(self, other_bytes: int = 0) -> int:
+        """Count what the next read may add, and `other_bytes` that are held as long. Returns its size."""
+        self.release()
+        read_size = self._budget.read_size
+        self._byte_count = READS_HELD_PER_STREAM * read_size + other_bytes
+        self._budget.reserve(self._byte_count)
+        return read_size
+
+    def release(self) -> None:
+        """Stop counting the body."""
+        self._budget.release(self._byte_count)
+        self._byte_count = 0
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterator
+from contextlib import suppress
 from random import Random
 
 import pytest
@@ -461,6 +462,31 @@
     b.run(work())
 
 
+def test_all_that_long_answers_to_slow_clients_hold_counts_against_the_memory_budget() -> None:
+    """Guards against reads that stay large, since only a part of each answer is counted."""
+    client_count, body_bytes = 12, 30 << 20
+
+    async def work() -> None:
+        async def respond_endlessly(endpoint: b.Endpoint, request: http1.Request, writer: b.Writer) -> None:
+            writer.write(http1.encode_response_head(200, (), b"Content-Length: %d" % body_bytes))
+            with suppress(ConnectionError):
+                for _ in range(body_bytes // len(LONG_BODY)):
+                    writer.write(LONG_BODY)
+                    await writer.drain()
+
+        endpoint = b.Endpoint("s-1", respond_endlessly)
+        async with b.bed(endpoint, memory_mb=4) as bed:  # a quarter of it is the budget
+            clients = [await bed.client() for _ in range(client_count)]
+            for client in clients:
+                client.send("view")
+            await b.until(lambda: bed.sidecar.budget.is_used_up)
+            for client in clients:
+                client.close()
+            await b.until(lambda: bed.sidecar.budget.held_bytes == 0)
+
+    b.run(work())
+
+
 def test_a_client_that_does_not_read_its_response_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
     async def work() -> None:
         monkeypatch.setattr("larkcrank.routing.clients.CLIENT_WRITE_TIMEOUT_S", 0.2)
