Start times of servers are converted once to the process clock, so that a stepped wall clock does no harm

Cause: start times in Unix time were compared with a clock whose offset was read before the step. Change: Clock.from_unix takes the younger of the ages by both offsets; StartTimes does it once for each process of a server, as its list comes.

--- a/larkcrank/program/clock.py
+++ b/larkcrank/program/clock.py
@@ -4,12 +4,14 @@
 import time
 
 HEARTBEAT_MS = 20.0  # between two heartbeats
+# A smaller difference between the wall clock and the process clock is no step.
+MIN_STEP_MS = 1000.0
 
 
 class Clock:
     """Unix time in milliseconds, read once at the start and then advanced by the monotonic clock.
 
-    It never runs backwards, and it can be compared with the start times that discovery reports in Unix time.
+    It never runs backwards and is never stepped. `from_unix` converts Unix times, which may be.
     """
 
     def __init__(self) -> None:
@@ -19,6 +21,18 @@
     def __call__(self) -> float:
         return self._offset_ms + time.monotonic() * 1000.0
 
+    def from_unix(self, unix_ms: float) -> float:
+        """Return the time on this clock of an event whose Unix time another process reports in ms.
+
+        After a step of the wall clock it is not known whether that time was read before or after the step.
+        The later result is taken: a server that passes for younger than it is gets less to do at first.
+        """
+        now, wall_now = self(), time.time() * 1000.0
+        if abs(wall_now - now) < MIN_STEP_MS:
+            return unix_ms
+        ages_ms = [age_ms for age_ms in (now - unix_ms, wall_now - unix_ms) if age_ms >= 0.0]
+        return now - min(ages_ms, default=0.0)
+
     def start_heartbeat(self) -> None:
         """Record the present time as a heartbeat, and repeat this every HEARTBEAT_MS."""
         self._heartbeat_at = self()
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -105,6 +105,7 @@
             site.grace_ms,
             self.counters,
             log,
+            self._clock.from_unix,
         )
         self.lifecycle = Lifecycle()
         self.lifecycle.on_change = self._on_phase_change
--- a/larkcrank/routing/driver.py
+++ b/larkcrank/routing/driver.py
@@ -39,6 +39,7 @@
 from larkcrank.routing.discovery import DiscoveryClient
 from larkcrank.routing.exchange import Exchange
 from larkcrank.routing.servers import AttemptExecutor
+from larkcrank.routing.start_times import StartTimes
 
 # Fraction of the grace period after the deadline at which a request that is still open is failed.
 OVERDUE_GRACE_FRACTION = 0.5
@@ -92,6 +93,7 @@
         grace_ms: float,
         counters: DriverCounters,
         event_log: EventLog,
+        from_unix: Callable[[float], float] = lambda unix_ms: unix_ms,
     ) -> None:
         self._balancer = balancer
         self._clock = clock
@@ -101,6 +103,7 @@
         self._overdue_delay_ms = grace_ms * OVERDUE_GRACE_FRACTION
         self._counters = counters
         self._event_log = event_log
+        self._start_times = StartTimes(from_unix)
         self._loop = asyncio.get_running_loop()
         self._pending_events: deque[Event] = deque()
         self._is_handling = False
@@ -192,7 +195,8 @@
         if self._discovery_down and not cached:
             self._discovery_down = False
             self._event_log.event("discovery_answers", generation=server_list.generation)
-        self.dispatch(ServerList(server_list.endpoints, server_list.is_full, cached, server_list.generation))
+        endpoints = self._start_times.convert(server_list.endpoints, server_list.is_full)
+        self.dispatch(ServerList(endpoints, server_list.is_full, cached, server_list.generation))
 
     def _discovery_failed(self, reason: str) -> None:
         if not self._discovery_down:  # Only changes of state are logged.
