Connections share the event loop: one peer that is always ready no longer starves the others

Cause: a read or write that can complete at once does not suspend its task, so such a connection kept the event loop for itself; each round added callbacks that the loop never came to run, which was the memory. Reading 64 KiB of short chunks or empty lines cost tens of milliseconds in one call of the parser.

Change: each connection has an allowance of work (a token bucket); one that has used it up waits in a queue of which one iteration of the loop serves a bounded part. Chunks that have arrived whole and empty lines are parsed without a copy each. A head has at most 100 fields, more get 431.

--- a/larkcrank/protocol/http1.py
+++ b/larkcrank/protocol/http1.py
@@ -11,6 +11,7 @@
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # a longer body is forwarded in parts as it arrives
 MAX_BODY_BYTES = 40 << 20
+MAX_FIELDS = 100  # in one head
 _MAX_CHUNK_LINE_BYTES = 256
 
 _TOKEN_PATTERN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
@@ -19,6 +20,8 @@
 _STATUS_LINE = re.compile(rb"HTTP/(\d)\.(\d) (\d{3})(?: ([\t -~\x80-\xff]*))?")
 _CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 _CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[\t -~\x80-\xff]*)?")
+_PLAIN_CHUNK_START = re.compile(rb"([0-9A-Fa-f]{1,8})\r\n")
+_EMPTY_LINES = re.compile(rb"(?:\r\n)+")
 _CONTENT_LENGTH_PATTERN = re.compile(rb"\d{1,15}")
 
 # These headers concern one connection only, so they are not forwarded. The framing is written anew.
@@ -207,8 +210,9 @@
             self._move_data(buffer, body)
             self.done = not self._bytes_left
         else:
+            self._decode_whole_chunks(buffer, body)
             while not self.done and self._decode_chunked_step(buffer, body):
-                pass
+                self._decode_whole_chunks(buffer, body)
 
     def _move_data(self, buffer: bytearray, body: bytearray) -> None:
         count = min(self._bytes_left, len(buffer))
@@ -216,6 +220,27 @@
         del buffer[:count]
         self._bytes_left -= count
 
+    def _decode_whole_chunks(self, buffer: bytearray, body: bytearray) -> None:
+        """Decode plain chunks that have arrived whole, of which there may be thousands.
+
+        All others, and whatever is wrong, are left to `_decode_chunked_step`.
+        """
+        if self._state != "size":
+            return
+        position, bytes_allowed = 0, self._bytes_allowed
+        while (match := _PLAIN_CHUNK_START.match(buffer, position)) is not None:
+            size = int(match[1], 16)
+            start = match.end()
+            end = start + size
+            if not 0 < size <= bytes_allowed or buffer[end : end + 2] != b"\r\n":
+                break
+            body += buffer[start:end]
+            bytes_allowed -= size
+            position = end + 2
+        self._bytes_allowed = bytes_allowed
+        if position:
+            del buffer[:position]
+
     def _decode_chunked_step(self, buffer: bytearray, body: bytearray) -> bool:
         """Decode the next data or the next framing line of a chunked body. Returns False if more bytes are
         needed.
@@ -263,8 +288,10 @@
         raise MessageError(431, "head too large")
     if end < 0:
         return None
-    lines = bytes(buffer[:end]).split(b"\r\n")
+    lines = bytes(memoryview(buffer)[:end]).split(b"\r\n")
     del buffer[: end + 4]
+    if len(lines) > MAX_FIELDS + 1:  # the first line is no field
+        raise MessageError(431, "too many header fields")
     return lines
 
 
@@ -326,8 +353,9 @@
         if self.is_streaming:
             return None
         if self._head is None:
-            while self._buffer.startswith(b"\r\n"):  # empty lines before a request are ignored
-                del self._buffer[:2]
+            empty_lines = _EMPTY_LINES.match(self._buffer)
+            if empty_lines is not None:  # they are ignored before a request
+                del self._buffer[: empty_lines.end()]
             lines = _take_head_lines(self._buffer)
             if lines is None:
                 return None
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -16,6 +16,7 @@
 from larkcrank.transport.closewatch import CloseWatcher
 from larkcrank.transport.connection import Connection, ConnectionLostError
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
+from larkcrank.transport.turns import MESSAGE_UNITS
 
 # Time limit for receiving a request head; for the first request of a connection it starts when the connection
 # is accepted. After the head, `REQUEST_PROGRESS_BYTES` of the body, or its end, must arrive within each
@@ -214,6 +215,7 @@
             while True:
                 request = await self._read_request(session)
                 keep_open = await self._handle_request(session, request)
+                await connection.spend(MESSAGE_UNITS)
                 session.has_served, session.last_progress_at = True, asyncio.get_running_loop().time()
                 if not keep_open:
                     return
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -26,6 +26,7 @@
 from larkcrank.transport.descriptors import DescriptorBudget
 from larkcrank.transport.pool import ConnectionPool
 from larkcrank.transport.reuse import ReuseGuard
+from larkcrank.transport.turns import OPERATION_UNITS
 
 # An endpoint that does not accept one part of a body within this time is treated as failed.
 BODY_WRITE_TIMEOUT_S = 10.0
@@ -330,6 +331,7 @@
                         self._mark_written(attempt)
                 async with asyncio.timeout(BODY_WRITE_TIMEOUT_S):
                     await connection.write(http1.encode_chunk(part) if bytes_left is None else part)
+                await connection.spend(OPERATION_UNITS + len(part))
             if bytes_left is None:
                 self._mark_written(attempt)
                 await connection.write(http1.encode_chunk(b""))
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -13,6 +13,7 @@
 from larkcrank.transport.answers import AnswerHistory, UnprovenTime
 from larkcrank.transport.closing import CloseReason
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
+from larkcrank.transport.turns import OPERATION_UNITS, WorkAllowance, running_turn_queue
 
 READ_CHUNK_BYTES = 64 * 1024
 # The flags are combined once, because combining the enum members costs more than the system call.
@@ -49,6 +50,9 @@
         self._use = use
         self._descriptors = descriptors
         self._pending_read: asyncio.Future[bytes] | None = None
+        self._loop = asyncio.get_running_loop()
+        self._allowance = WorkAllowance(self._loop.time())
+        self._turns = running_turn_queue()
         self._closed = False
         self.host_port: tuple[str, int] | None = None  # the remote address of an outgoing connection
         self.number = 0  # identifies a connection to an endpoint in the log
@@ -78,7 +82,10 @@
         return self._pending_read
 
     async def read(self, max_bytes: int = READ_CHUNK_BYTES) -> bytes:
-        """Return at least one byte. Raises `ConnectionLostError` at the end of the stream."""
+        """Return at least one byte. Raises `ConnectionLostError` at the end of the stream.
+
+        Other connections go first if this one has used up its allowance of work.
+        """
         pending = self.start_read(max_bytes)
         if pending.cancelled():
             raise ConnectionLostError("an earlier read was cancelled")
@@ -91,8 +98,14 @@
         # If the caller is cancelled, `_pending_read` keeps the cancelled read, because the stream can't start
         # another one. (asyncio.shield would avoid that, at the cost of one more loop iteration per read.)
         self._pending_read = None
+        await self.spend(OPERATION_UNITS + len(data))
         return data
 
+    async def spend(self, units: int) -> None:
+        """Count work for the peer, and let other connections go first if it exceeds the allowance."""
+        if not self._allowance.spend(units, self._loop.time()):
+            await self._turns.take_turn(units)
+
     async def write(self, data: bytes) -> None:
         """Return when the kernel has accepted all bytes. Raises `ConnectionLostError` if it can't."""
         try:
--- /dev/null
+++ b/tests/test_hostile.py
@@ -0,0 +1,54 @@
+"""Hostile clients before a real sidecar process with the least memory, beside an honest client."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from tests import hostile_bed as bed
+from tests import hostile_clients as shapes
+
+MEMORY_MB = 32.0  # the least that a deployment gives
+SOCKETS = 1024
+PLAY_S = 5.0
+SETTLE_S = 1.0
+MIN_SERVED_SHARE = 0.5  # of the honest client's requests
+
+
+async def play(shape: Callable[..., None], *arguments: Any, memory_mb: float = MEMORY_MB) -> bed.Stage:
+    """Let hostile clients of one shape act for a while. Returns what was seen."""
+    async with bed.stage(memory_mb, SOCKETS) as stage:
+        await asyncio.sleep(SETTLE_S)
+        async with bed.hostile_clients(shape, stage.port, *arguments):
+            await asyncio.sleep(PLAY_S)
+        await stage.wait_for_honest_answers()
+        assert stage.processes[-1].poll() is None
+        return stage
+
+
+def assert_honest_client_was_served(stage: bed.Stage) -> None:
+    served = sum(answer.status == 200 for answer in stage.honest_answers)
+    unanswered = sum(not answer.status for answer in stage.honest_answers)
+    assert unanswered == 0, stage.describe()
+    assert served > MIN_SERVED_SHARE * len(stage.honest_answers), stage.describe()
+
+
+def assert_memory_was_kept(stage: bed.Stage, memory_mb: float = MEMORY_MB) -> None:
+    assert stage.memory.private < memory_mb * bed.MEBIBYTE, stage.describe()
+
+
+@pytest.mark.parametrize(
+    ("shape", "arguments"),
+    [
+        (shapes.ready_checks, (1,)),
+        (shapes.empty_lines, (1,)),
+        (shapes.short_chunks, (1, 1_600_000)),
+    ],
+)
+def test_one_client_at_full_speed_leaves_others_their_answers(
+    shape: Callable[..., None], arguments: tuple[Any, ...]
+) -> None:
+    stage = asyncio.run(play(shape, *arguments))
+    assert_honest_client_was_served(stage)
+    assert_memory_was_kept(stage)
