Closed connections are freed at once instead of at the next garbage collection

Cause: the exception of a read that ends with its connection refers to the frame of Connection.read, whose local variable refers to the future that holds the exception: a cycle that kept stream, sockets' buffers and history of each closed connection until a full collection, which is rare after gc.freeze.

--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -93,6 +93,7 @@
             data = await pending
         except StreamClosedError as error:
             self._pending_read = None
+            del pending  # its exception refers to this frame: a cycle would keep the connection's memory
             is_clean_close = error.real_error is None and not self._closed
             raise ConnectionLostError(str(error.real_error or "closed"), is_clean_close) from None
         # If the caller is cancelled, `_pending_read` keeps the cancelled read, because the stream can't start
