One account of the memory that peers hold, with grades of action before the limit

Cause: BufferBudget knew streamed bodies alone. Heads, short bodies, short answers, connections and what is read at once were counted by nobody, a body lived until its answer's last byte, and hundreds of sockets were read with 64 KiB each in one iteration of the loop, whose freed buffers the allocators kept.

Change: MemoryAccount counts connections, requests, uploads, answers and streams; its pressure makes reads smaller, lets uploads hold only what is passed on, closes idle connections, refuses requests with bodies at their head (503, Retry-After, the rest is read and dropped), then all, and slows accepting. No stream is cut. The true figure is read ten times a second (/proc/self/statm) and counts too; when it is high, garbage is collected and free memory returned. A request's head and body are freed when its answer begins. Heads are read by 4 KiB, and reads are bounded by the capacity. Counters turned_away_memory and memory (by use), log event memory_pressure. routing/clients.py is split: sessions and the check of requests have modules.

--- a/larkcrank/lab/scale/hollow.py
+++ b/larkcrank/lab/scale/hollow.py
@@ -45,8 +45,8 @@
 from larkcrank.routing.discovery import CallKind, DiscoveryClient
 from larkcrank.routing.driver import Driver
 from larkcrank.routing.servers import AttemptExecutor
-from larkcrank.transport.budget import BufferBudget
 from larkcrank.transport.descriptors import DescriptorBudget
+from larkcrank.transport.memory import MemoryAccount
 from larkcrank.transport.pool import ConnectionPool
 
 CHANGE_NUMBER_SCALE = 1 << 20  # see `change_number`
@@ -245,7 +245,7 @@
             site.connect_timeout_ms,
             site.load_fields,
             config.max_body_bytes,
-            BufferBudget(config.memory_mb * MIB),
+            MemoryAccount(config.memory_mb * MIB),
             self._clock,
             self.counters,
             self.event_counter.failure,
--- a/larkcrank/program/counters.py
+++ b/larkcrank/program/counters.py
@@ -3,6 +3,7 @@
 from dataclasses import asdict, dataclass, field
 
 from larkcrank.core.interface import Result
+from larkcrank.routing.clients import RefusalReason
 from larkcrank.transport.closing import CloseReason
 
 
@@ -14,6 +15,7 @@
     taken: int = 0  # valid requests that were accepted
     bad_requests: int = 0  # invalid or incomplete requests
     turned_away_full: int = 0  # requests answered 503 because too many were in progress
+    turned_away_memory: int = 0  # requests answered 503 because memory was scarce
     served: int = 0  # requests answered by a server
     refused: int = 0  # requests that the balancer refused
     failed: int = 0  # requests that the sidecar answered with an error other than a refusal
@@ -46,6 +48,14 @@
         """Count a closed connection to an endpoint."""
         _increment(self.closes, reason.value)
 
+    def turn_away(self, reason: RefusalReason) -> None:
+        """Count a request that was refused before it was taken."""
+        match reason:
+            case RefusalReason.TOO_MANY_REQUESTS:
+                self.turned_away_full += 1
+            case RefusalReason.MEMORY:
+                self.turned_away_memory += 1
+
     def retry(self, last_result: Result | None) -> None:
         """Count a further attempt of a request whose last attempt ended like this."""
         _increment(self.retries, _reason_of(last_result))
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -16,6 +16,7 @@
 from larkcrank.program.clock import Clock
 from larkcrank.program.counters import Counters
 from larkcrank.program.log import Log
+from larkcrank.program.memory_monitor import MemoryMonitor
 from larkcrank.program.ops import OperatorServer
 from larkcrank.protocol.discovery import ListUpdate, NameTable
 from larkcrank.protocol.ops import Call
@@ -24,9 +25,9 @@
 from larkcrank.routing.driver import Driver
 from larkcrank.routing.life import Lifecycle, Phase
 from larkcrank.routing.servers import AttemptExecutor
-from larkcrank.transport.budget import BufferBudget
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
 from larkcrank.transport.listener import Listener
+from larkcrank.transport.memory import MemoryAccount, Pressure
 from larkcrank.transport.pool import ConnectionPool
 
 if TYPE_CHECKING:
@@ -63,7 +64,8 @@
         self._rng = Random(config.seed)
         site = config.site
         self.descriptors = DescriptorBudget(config.sockets, has_operators=config.ops is not None)
-        self.budget = BufferBudget(config.memory_mb * (1 << 20))
+        self.memory = MemoryAccount(config.memory_mb * (1 << 20))
+        self._memory_monitor = MemoryMonitor(self.memory, log)
         self.pool = ConnectionPool(self.descriptors, site.keepalive_ms)
         self._servers = servers = AttemptExecutor(
             self.pool,
@@ -71,7 +73,7 @@
             site.connect_timeout_ms,
             site.load_fields,
             config.max_body_bytes,
-            self.budget,
+            self.memory,
             self._clock,
             self.counters,
             log.log_exception,
@@ -115,13 +117,17 @@
             self.lifecycle,
             self._clock.earliest_arrival,
             self.descriptors,
-            self.budget,
+            self.memory,
             config.max_body_bytes,
             self.counters,
             log.log_exception,
         )
         self._listener = Listener(
-            config.listen, self.descriptors, self.clients.accept, passed_socket=passed_socket
+            config.listen,
+            self.descriptors,
+            self.clients.accept,
+            passed_socket=passed_socket,
+            must_accept_slowly=lambda: self.memory.pressure is Pressure.EXHAUSTED,
         )
         # Numbers of other live processes of this sidecar: [predecessors, successors].
         self._other_processes = [0, 0]
@@ -222,7 +228,7 @@
         """
         self._other_processes[position] = count
         self.descriptors.set_other_processes(sum(self._other_processes))
-        self.budget.set_other_processes(sum(self._other_processes))
+        self.memory.set_other_processes(sum(self._other_processes))
         self.log.event("processes", beside=sum(self._other_processes))
 
     def _on_predecessor_exit(self) -> None:
@@ -366,7 +372,8 @@
     def log_counters(self) -> None:
         """Log all counters in one event."""
         fleet_counters = {} if self._fleet_member is None else self._fleet_member.counters()
-        self.log.event("counters", **self.counters.as_dict(), **fleet_counters)
+        memory = self._memory_monitor.as_dict()
+        self.log.event("counters", **self.counters.as_dict(), memory=memory, **fleet_counters)
 
     def log_diagnostics(self) -> None:
         """Log the most recent attempts in one event, if there were any, and all counters in another."""
@@ -385,6 +392,7 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
         loop.set_exception_handler(self._on_loop_exception)
         self.log.capture_library_logs()
+        self._memory_monitor.start()
         start_task = loop.create_task(self.start_serving())
         shutdown_wait = loop.create_task(self._shutdown_requested.wait())
         await asyncio.wait((start_task, shutdown_wait), return_when=asyncio.FIRST_COMPLETED)
@@ -392,6 +400,7 @@
             start_task.result()
             gc.collect()
             gc.freeze()  # objects that live as long as the process need no further garbage collection
+            self._memory_monitor.record_program()
         await shutdown_wait
         start_task.cancel()  # has an effect only if shutdown was requested before the start completed
         # A cancelled start may still release resources; they are closed only after it has ended.
@@ -420,6 +429,7 @@
         for handover_peer in (self._predecessor, self._handover_server):
             if handover_peer is not None:
                 handover_peer.close()
+        self._memory_monitor.stop()
         self._discovery.close()
         self.pool.close()
 
--- a/larkcrank/protocol/http1.py
+++ b/larkcrank/protocol/http1.py
@@ -12,6 +12,9 @@
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # a longer body is forwarded in parts as it arrives
 MAX_BODY_BYTES = 40 << 20
 MAX_FIELDS = 100  # in one head
+# What a body takes while it is buffered, as a multiple of its size: it grows in place and is copied at last.
+BODY_COPIES = 3
+FIELD_BYTES = 200  # objects of one parsed field, without its text
 _MAX_CHUNK_LINE_BYTES = 256
 
 _TOKEN_PATTERN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
@@ -83,6 +86,11 @@
 
     __slots__ = ()
 
+    @property
+    def held_bytes(self) -> int:
+        """About how much memory the fields take."""
+        return sum(FIELD_BYTES + 2 * len(field.raw_line) for field in self)
+
     def get_all(self, name: bytes) -> list[bytes]:
         """Return the values of all fields with this name, which must be in lower case."""
         return [field.value for field in self if field.name == name]
@@ -114,7 +122,10 @@
         ]
 
 
-@dataclass(slots=True, frozen=True)
+_NO_FIELDS = Fields()
+
+
+@dataclass(slots=True)
 class Request:
     """A request whose body may still be arriving."""
 
@@ -127,6 +138,15 @@
     is_complete: bool = True  # if false, `RequestParser.take_part` returns the rest of the body
     is_http10: bool = False  # whether the client uses HTTP/1.0, which has no chunked bodies
 
+    @property
+    def held_bytes(self) -> int:
+        """About how much memory the request takes."""
+        return len(self.body) + self.fields.held_bytes
+
+    def release(self) -> None:
+        """Drop the body and the header, which are not needed once nothing more is sent for the request."""
+        self.body, self.fields = b"", _NO_FIELDS
+
 
 @dataclass(slots=True, frozen=True)
 class ResponseHead:
@@ -198,6 +218,11 @@
         self.until_close = until_close  # whether the end of the connection marks the end of the body
         self.done = length == 0  # whether the whole body was decoded
 
+    @property
+    def is_chunked(self) -> bool:
+        """Whether the body has the chunked coding."""
+        return self._chunked
+
     def decode(self, buffer: bytearray, body: bytearray) -> None:
         """Move the bytes of the body from `buffer` to `body`, without the chunk framing."""
         if self.until_close:
@@ -339,6 +364,30 @@
         """Whether a head has arrived, and too little of its body for `next` to return the request."""
         return self._head is not None
 
+    @property
+    def has_sized_body(self) -> bool:
+        """Whether the bytes that come next belong to a body of known length."""
+        return self.has_body_ahead and not self._body_decoder.is_chunked
+
+    @property
+    def has_body_ahead(self) -> bool:
+        """Whether the bytes that come next belong to a body."""
+        return self._head is not None or self.is_streaming
+
+    @property
+    def held_bytes(self) -> int:
+        """About how much memory the request that is arriving takes, or will take when it is complete."""
+        if self._head is None:
+            return len(self._buffer)
+        body_bytes = max(self._head.content_length or 0, len(self._body))
+        return len(self._buffer) + BODY_COPIES * body_bytes + self._head.fields.held_bytes
+
+    def discard(self) -> None:
+        """Drop what has arrived, when nothing more is parsed."""
+        self._buffer.clear()
+        self._body.clear()
+        self._head = None
+
     def feed(self, data: bytes) -> None:
         """Add received bytes, which `next` or `take_part` then parses."""
         self._buffer += data
@@ -426,6 +475,11 @@
         """Whether the whole response has arrived."""
         return self.head is not None and self._body_decoder.done
 
+    @property
+    def has_sized_body(self) -> bool:
+        """Whether the bytes that come next belong to a body of known length."""
+        return self.head is not None and self.head.content_length is not None
+
     @property
     def has_extra_bytes(self) -> bool:
         """Whether bytes follow the response. The connection can't be reused then."""
--- a/larkcrank/routing/attempt.py
+++ b/larkcrank/routing/attempt.py
@@ -7,6 +7,7 @@
 from larkcrank.routing.exchange import Exchange
 from larkcrank.transport.closing import CloseReason
 from larkcrank.transport.connection import Connection
+from larkcrank.transport.memory import MemoryReservation
 
 
 class Attempt:
@@ -30,6 +31,7 @@
         "is_time_known",
         "is_unproven",
         "position",
+        "response_memory",
         "response_started",
         "rested_ms",
         "started_at",
@@ -45,9 +47,11 @@
         address: Address,
         started_at: float,
         begin_by_ms: float,
+        response_memory: MemoryReservation,
         on_end: "Callable[[Attempt, Result, tuple[float, ...]], None]",
     ) -> None:
         self.exchange, self.index, self.address, self.started_at = exchange, index, address, started_at
+        self.response_memory = response_memory  # What is held of its answer.
         self.connection: Connection | None = None
         self.connection_number = 0
         self.position = 0  # of the request on its connection, from 1
@@ -85,6 +89,7 @@
         if self.ended:
             return
         self.ended = True
+        self.response_memory.release()
         if self.timer is not None:
             self.timer.cancel()
         if self.connection is not None:  # HTTP/1.1 has no other way to cancel a request.
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -5,24 +5,34 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from contextlib import AbstractContextManager
+from enum import Enum
 from functools import partial
 from typing import Any, Protocol
 
-from larkcrank.core.interface import Effect, RequestClass, Settings
+from larkcrank.core.interface import Settings
 from larkcrank.protocol import http1, platform
 from larkcrank.routing.exchange import BufferedResponse, Exchange, StreamedResponse, Upload
 from larkcrank.routing.life import Lifecycle
-from larkcrank.transport.budget import BufferBudget
+from larkcrank.routing.request_check import RequestCheck
+from larkcrank.routing.sessions import ClientSession
 from larkcrank.transport.closewatch import CloseWatcher
 from larkcrank.transport.connection import Connection, ConnectionLostError
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
+from larkcrank.transport.memory import (
+    MEDIUM_READ_BYTES,
+    REQUEST_BYTES,
+    SMALL_READ_BYTES,
+    MemoryAccount,
+    MemoryReservation,
+    MemoryUse,
+    Pressure,
+)
 from larkcrank.transport.turns import MESSAGE_UNITS
 
 # Time limit for receiving a request head; for the first request of a connection it starts when the connection
-# is accepted. After the head, `REQUEST_PROGRESS_BYTES` of the body, or its end, must arrive within each
-# further interval of this length. Time during which reading from the client is paused does not count.
+# is accepted. After the head, `sessions.REQUEST_PROGRESS_BYTES` of the body, or its end, must arrive within
+# each further interval of this length. Time during which reading from the client is paused does not count.
 REQUEST_PROGRESS_TIMEOUT_S = 2.4
-REQUEST_PROGRESS_BYTES = 16 * 1024
 # A client that has read nothing of a long response for this time is disconnected.
 CLIENT_WRITE_TIMEOUT_S = 20.0
 # How long the rest of a body is read and dropped after an early response. A client may read the response only
@@ -39,6 +49,22 @@
 LINGER_TIMEOUT_S = 0.3
 MAX_LINGER_BYTES = 1 << 20
 SWEEP_INTERVAL_S = 0.2
+RETRY_AFTER_MS = 500.0  # told to clients whose requests do not fit into memory
+
+
+class RefusalReason(Enum):
+    """Why a request was refused before it was taken. The values are texts of responses."""
+
+    TOO_MANY_REQUESTS = "too many requests in hand"
+    MEMORY = "too little memory"
+
+
+class _RefusedError(http1.MessageError):
+    """The request is refused although it has not arrived whole."""
+
+    def __init__(self, reason: RefusalReason) -> None:
+        super().__init__(503, reason.value)
+        self.reason = reason
 
 
 class RequestHandler(Protocol):
@@ -56,9 +82,10 @@
 
     connections: int
     bad_requests: int
-    turned_away_full: int
     crashed: int
 
+    def turn_away(self, reason: RefusalReason) -> None: ...
+
 
 class ClientConnections:
     """Serves the application's connections, handling one request at a time on each."""
@@ -70,32 +97,33 @@
         lifecycle: Lifecycle,
         arrival_time: Callable[[], float],
         descriptors: DescriptorBudget,
-        budget: BufferBudget,
+        memory: MemoryAccount,
         max_body: int,
         counters: ClientCounters,
         report_failure: Callable[[str, BaseException], None],
     ) -> None:
-        self._warm_keys = settings.warm_keys
         self._request_handler = request_handler
         self._lifecycle = lifecycle
         self._arrival_time = arrival_time
         self._counters = counters
         self._report_failure = report_failure
-        self._classes = {
-            request_class.name: (index, request_class) for index, request_class in enumerate(settings.classes)
-        }
-        self._tenants = {tenant.name: index for index, tenant in enumerate(settings.tenants)}
-        self._sessions: dict[Connection, _ClientSession] = {}
+        self._request_check = RequestCheck(
+            settings, memory, request_handler.next_request_id, lambda: lifecycle.latest_deadline
+        )
+        self._retry_after_ms = (
+            min(settings.max_retry_after_ms, RETRY_AFTER_MS) if settings.retry_after else 0.0
+        )
+        self._sessions: dict[Connection, ClientSession] = {}
         # Idle sessions that have not had a response yet, the longest idle first, so that finding one to close
         # needs no search.
-        self._idle_unserved: OrderedDict[_ClientSession, None] = OrderedDict()
+        self._idle_unserved: OrderedDict[ClientSession, None] = OrderedDict()
         # Sessions that are idle after at least one response, in the same order.
-        self._idle_served: OrderedDict[_ClientSession, None] = OrderedDict()
+        self._idle_served: OrderedDict[ClientSession, None] = OrderedDict()
         self._active_request_ids: set[str] = set()  # Ids of the requests being handled.
         self._close_watch = CloseWatcher()
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._descriptors = descriptors
-        self._budget = budget
+        self._memory = memory
         self._max_body = max_body
         descriptors.register_evictor(SocketUse.CLIENT, self._evict_idle, self._longest_idle_since)
 
@@ -106,7 +134,7 @@
 
     def accept(self, connection: Connection) -> None:
         """Start serving a connection that was just accepted."""
-        session = _ClientSession(connection, self._max_body)
+        session = ClientSession(connection, self._max_body, self._memory)
         self._sessions[connection] = session
         self._counters.connections += 1
         loop = asyncio.get_running_loop()
@@ -155,7 +183,7 @@
         )
 
     @staticmethod
-    def _close_longest_idle(idle_sessions: "OrderedDict[_ClientSession, None]", idle_since: float) -> bool:
+    def _close_longest_idle(idle_sessions: "OrderedDict[ClientSession, None]", idle_since: float) -> bool:
         """Close the longest idle connection if it has been idle since `idle_since` or earlier."""
         while idle_sessions and (session := next(iter(idle_sessions))).last_progress_at <= idle_since:
             # Removed even if it is not closed: then it has unread data and is about to become active.
@@ -171,15 +199,8 @@
         """
         now = asyncio.get_running_loop().time()
         for session in list(self._sessions.values()):
-            # A client must send more of its body only while the request is incomplete and unanswered and
-            # reading from the client is not paused.
-            body_due = (
-                session.uploading_exchange is not None
-                and not session.uploading_exchange.closed
-                and not session.reading_paused
-            )
             if (
-                (session.has_active_request and not body_due)
+                (session.has_active_request and not session.is_body_due)
                 or session.lingering
                 or session in self._idle_served
             ):
@@ -197,51 +218,62 @@
             SocketUse.CLIENT
         ) > IDLE_CLOSE_THRESHOLD and self._close_longest_idle(self._idle_served, now - MIN_KEEPALIVE_S):
             pass
+        while self._memory.pressure >= Pressure.HIGH and self._evict_idle():
+            pass
         self._sweep_timer = (
             asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep) if self._sessions else None
         )
 
-    def _mark_idle(self, session: "_ClientSession") -> None:
+    def _mark_idle(self, session: ClientSession) -> None:
         """Mark a connection as idle until something is read from it."""
         (self._idle_served if session.has_served else self._idle_unserved)[session] = None
 
-    def _mark_active(self, session: "_ClientSession") -> None:
+    def _mark_active(self, session: ClientSession) -> None:
         self._idle_served.pop(session, None)
         self._idle_unserved.pop(session, None)
 
-    async def _serve(self, session: "_ClientSession") -> None:
+    async def _serve(self, session: ClientSession) -> None:
         connection = session.connection
         try:
-            while True:
-                request = await self._read_request(session)
-                keep_open = await self._handle_request(session, request)
-                await connection.spend(MESSAGE_UNITS)
-                session.has_served, session.last_progress_at = True, asyncio.get_running_loop().time()
-                if not keep_open:
-                    return
+            try:
+                await self._serve_requests(session)
+                return
+            except http1.MessageError as error:
+                # Its traceback would keep what was parsed until the connection closes.
+                rejection = error.with_traceback(None)
+            if isinstance(rejection, _RefusedError):
+                await self._refuse_unread(session, rejection.reason)
+            else:
+                await self._send_error(session, rejection)
         except ConnectionLostError:
             pass
-        except http1.MessageError as error:
-            await self._send_error(session, error)
         except Exception as error:
             self._counters.crashed += 1
             self._report_failure("client connection", error)
         finally:
             connection.close()
+            session.release_memory()
             self._mark_active(session)
             self._sessions.pop(connection, None)
 
-    async def _read_request(self, session: "_ClientSession") -> http1.Request:
+    async def _serve_requests(self, session: ClientSession) -> None:
+        """Answer requests until one is the last on its connection."""
+        keep_open = True
+        while keep_open:
+            request = await self._read_request(session)
+            keep_open = await self._handle_request(session, request)
+            await session.connection.spend(MESSAGE_UNITS)
+            session.has_served, session.last_progress_at = True, asyncio.get_running_loop().time()
+
+    async def _read_request(self, session: ClientSession) -> http1.Request:
         """Read the next request, marking the session as idle until its first byte arrives."""
         parser, connection = session.parser, session.connection
         has_head = False
         while (request := parser.next()) is None:
+            self._reserve_partial_request(session)
             if parser.awaits_body and not has_head:
-                has_head, session.progress_bytes, session.last_progress_at = (
-                    True,
-                    0,
-                    asyncio.get_running_loop().time(),
-                )
+                has_head = True
+                session.mark_progress()
             if parser.expects_continue:
                 parser.expects_continue = False
                 await connection.write(http1.CONTINUE_RESPONSE)
@@ -255,39 +287,45 @@
                 session.last_progress_at = asyncio.get_running_loop().time()
         return request
 
-    async def _read_some(self, session: "_ClientSession") -> None:
+    def _reserve_partial_request(self, session: ClientSession) -> None:
+        """Count what a request that is arriving takes. Raises `_RefusedError` if it does not fit."""
+        byte_count = session.parser.held_bytes
+        session.request_memory.resize(byte_count)
+        if byte_count > SMALL_READ_BYTES and not self._memory.admits(0, has_body=True):
+            raise _RefusedError(RefusalReason.MEMORY)
+
+    def _read_size(self, session: ClientSession) -> int:
+        """Return how much to read at once. A head is short; chunks take long to parse for their size."""
+        if not session.parser.has_body_ahead:
+            return SMALL_READ_BYTES
+        read_size = self._memory.read_size
+        return read_size if session.parser.has_sized_body else min(read_size, MEDIUM_READ_BYTES)
+
+    async def _read_some(self, session: ClientSession) -> None:
         had_head = session.parser.awaits_body
-        data = await session.connection.read(self._budget.read_size)
+        data = await session.connection.read(self._read_size(session))
         session.parser.feed(data)
         session.data_arrived_at = self._arrival_time()
         if had_head:  # The data read belongs to the body.
-            self._record_progress(session, len(data))
+            session.count_body_bytes(len(data))
 
-    @staticmethod
-    def _record_progress(session: "_ClientSession", count: int) -> None:
-        session.progress_bytes += count
-        if session.progress_bytes >= REQUEST_PROGRESS_BYTES:
-            session.progress_bytes, session.last_progress_at = 0, asyncio.get_running_loop().time()
-
-    async def _handle_request(self, session: "_ClientSession", request: http1.Request) -> bool:
+    async def _handle_request(self, session: ClientSession, request: http1.Request) -> bool:
         """Respond to one request. Returns False if the connection closes afterwards."""
         session.has_active_request = True
         try:
             return await self._respond(session, request)
         finally:
             session.has_active_request = False
+            session.request_memory.release()
 
-    async def _respond(self, session: "_ClientSession", request: http1.Request) -> bool:
+    async def _respond(self, session: ClientSession, request: http1.Request) -> bool:
         if platform.is_ready_check(request):
             status = 200 if self._lifecycle.is_ready else 503
             return await self._write_buffered_response(session, request, status, (), b"")
         # An invalid request raises MessageError, which closes the connection.
-        exchange = self._create_exchange(request, session)
-        if self._request_handler.is_full():
-            self._counters.turned_away_full += 1
-            return await self._write_buffered_response(
-                session, request, 503, (), b"too many requests in hand"
-            )
+        exchange = self._request_check.create_exchange(request, session, self._active_request_ids)
+        if (reason := self._reason_to_turn_away(session, request)) is not None:
+            return await self._turn_away(session, request, exchange, reason)
         if exchange.upload is not None:
             return await self._handle_upload(session, request, exchange, exchange.upload)
         self._active_request_ids.add(exchange.call_info.id)
@@ -299,18 +337,41 @@
             # Ends the exchange if there is no response yet; has no effect after a response.
             self._request_handler.handle_client_gone(exchange)
 
+    def _reason_to_turn_away(self, session: ClientSession, request: http1.Request) -> RefusalReason | None:
+        """Count the memory that a request takes, and return why it is not taken, if it is not."""
+        if self._request_handler.is_full():
+            return RefusalReason.TOO_MANY_REQUESTS
+        has_body = bool(request.body) or not request.is_complete
+        session.request_memory.resize(0)
+        # A second copy of the body is made to send it.
+        byte_count = REQUEST_BYTES + request.held_bytes + len(request.body)
+        if not self._memory.admits(byte_count, has_body):
+            return RefusalReason.MEMORY
+        session.request_memory.resize(byte_count)
+        return None
+
+    async def _turn_away(
+        self, session: ClientSession, request: http1.Request, exchange: Exchange, reason: RefusalReason
+    ) -> bool:
+        """Refuse a request that was read. Returns whether the connection stays open."""
+        if exchange.upload is not None:
+            exchange.upload.release()
+            raise _RefusedError(reason)
+        self._counters.turn_away(reason)
+        request.release()
+        return await self._write_buffered_response(
+            session, request, 503, self._retry_after_lines(), reason.value.encode()
+        )
+
     async def _handle_upload(
-        self, session: "_ClientSession", request: http1.Request, exchange: Exchange, upload: Upload
+        self, session: ClientSession, request: http1.Request, exchange: Exchange, upload: Upload
     ) -> bool:
         """Handle a request whose body is forwarded while it is received. The response may be written before
         the body ends; the rest of the body is then read and dropped. Returns whether the connection
         stays open.
         """
-        session.uploading_exchange, session.progress_bytes, session.last_progress_at = (
-            exchange,
-            0,
-            asyncio.get_running_loop().time(),
-        )
+        session.uploading_exchange = exchange
+        session.mark_progress()
         self._active_request_ids.add(exchange.call_info.id)
         upload_task = asyncio.get_running_loop().create_task(self._read_upload(session, exchange, upload))
         try:
@@ -337,28 +398,25 @@
             self._active_request_ids.discard(exchange.call_info.id)
             self._request_handler.handle_client_gone(exchange)
 
-    async def _read_upload(self, session: "_ClientSession", exchange: Exchange, upload: Upload) -> None:
+    async def _read_upload(self, session: ClientSession, exchange: Exchange, upload: Upload) -> None:
         """Read the body of an upload. The deadline of the request counts from the body's last byte."""
         parser = session.parser
         try:
             if parser.expects_continue:
                 await session.connection.write(http1.CONTINUE_RESPONSE)
             while parser.is_streaming:
-                data = await session.connection.read(self._budget.read_size)
+                data = await session.connection.read(self._read_size(session))
                 parser.feed(data)
                 body_part = parser.take_part()
                 session.data_arrived_at = self._arrival_time()
                 upload.append(body_part)
-                self._record_progress(session, len(data))
+                session.count_body_bytes(len(data))
                 if parser.is_streaming and upload.is_full:
                     session.reading_paused = True
                     with self._watch_for_close(session, exchange):
                         await upload.wait_for_room()
-                    session.reading_paused, session.progress_bytes, session.last_progress_at = (
-                        False,
-                        0,
-                        asyncio.get_running_loop().time(),
-                    )
+                    session.reading_paused = False
+                    session.mark_progress()
             exchange.arrived_at = session.data_arrived_at
             exchange.deadline = min(
                 exchange.arrived_at + exchange.client_timeout_ms, self._lifecycle.latest_deadline
@@ -370,7 +428,7 @@
             upload.finish(complete=False)
             raise
 
-    def _watch_for_close(self, session: "_ClientSession", exchange: Exchange) -> AbstractContextManager[None]:
+    def _watch_for_close(self, session: ClientSession, exchange: Exchange) -> AbstractContextManager[None]:
         """Watch for the client disconnecting. While nothing is read from it, only polling the socket can
         tell.
         """
@@ -379,7 +437,7 @@
         )
 
     async def _await_response(
-        self, session: "_ClientSession", request: http1.Request, exchange: Exchange
+        self, session: ClientSession, request: http1.Request, exchange: Exchange
     ) -> bool:
         """Wait for the response and write it. Meanwhile, read from the client to notice a disconnect. Returns
         whether the connection stays open.
@@ -391,7 +449,7 @@
                 with self._watch_for_close(session, exchange):
                     await asyncio.wait((response_future,))
                 break
-            pending_read = connection.start_read()
+            pending_read = connection.start_read(SMALL_READ_BYTES)
             awaited: set[asyncio.Future[Any]] = {response_future, pending_read}
             await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
             if pending_read.done() and not response_future.done():
@@ -400,7 +458,7 @@
 
     async def _write_response(
         self,
-        session: "_ClientSession",
+        session: ClientSession,
         request: http1.Request,
         exchange: Exchange,
         response: BufferedResponse | StreamedResponse,
@@ -413,7 +471,7 @@
 
     async def _write_buffered_response(
         self,
-        session: "_ClientSession",
+        session: ClientSession,
         request: http1.Request,
         status: int,
         header_lines: tuple[bytes, ...],
@@ -423,17 +481,24 @@
         response_text = http1.encode_response(
             status, header_lines, body, close_after, announce_keep_alive=request.is_http10
         )
-        await self._write_bytes(session.connection, response_text)
+        session.request_memory.resize(REQUEST_BYTES)
+        reservation = MemoryReservation(self._memory, MemoryUse.RESPONSE)
+        reservation.resize(len(body) + len(response_text))
+        try:
+            await self._write_bytes(session.connection, response_text)
+        finally:
+            reservation.release()
         return not close_after
 
     async def _write_streamed_response(
         self,
-        session: "_ClientSession",
+        session: ClientSession,
         request: http1.Request,
         exchange: Exchange,
         response: StreamedResponse,
     ) -> bool:
         close_after = self._should_close(session, request)
+        session.request_memory.resize(REQUEST_BYTES)
         connection = session.connection
         chunked = response.content_length is None and not request.is_http10
         framing = (
@@ -445,7 +510,9 @@
         close_after = close_after or not framing
         # After an early answer, the task that still reads the upload notices the end of the connection.
         if not session.answered_early:
-            connection.start_read().add_done_callback(lambda _: connection.closed and exchange.abandon())
+            connection.start_read(SMALL_READ_BYTES).add_done_callback(
+                lambda _: connection.closed and exchange.abandon()
+            )
         head = http1.encode_response_head(
             response.status,
             response.header_lines,
@@ -473,55 +540,42 @@
         except TimeoutError:
             raise ConnectionLostError("the client stopped reading the response") from None
 
-    def _should_close(self, session: "_ClientSession", request: http1.Request) -> bool:
+    def _should_close(self, session: ClientSession, request: http1.Request) -> bool:
         """Whether the connection closes after this response: the client or the lifecycle asks for it, an
-        upload was answered early, or another connection needs its descriptor.
+        upload was answered early, or another connection needs its descriptor or its memory.
         """
-        must_close = self._lifecycle.closes_connections or self._descriptors.has_waiters
+        must_close = (
+            self._lifecycle.closes_connections
+            or self._descriptors.has_waiters
+            or self._memory.pressure is Pressure.EXHAUSTED
+        )
         return must_close or session.answered_early or not request.keep_alive
 
-    def _create_exchange(self, request: http1.Request, session: "_ClientSession") -> Exchange:
-        call_info = platform.read_call_info(request)
-        class_index, request_class = self._find_class(request, call_info)
-        # Responses to two requests with the same id could not be distinguished.
-        if call_info.id in self._active_request_ids:
-            raise http1.MessageError(409, "a request with this Req-Id is in hand")
-        _validate_request(request_class.effect, call_info, request)
-        if self._tenants and call_info.owner and call_info.owner not in self._tenants:
-            raise http1.MessageError(400, "unknown Req-Owner")
-        timeout_ms = (
-            request_class.deadline_ms if call_info.client_timeout_ms is None else call_info.client_timeout_ms
-        )
-        arrived_at = session.data_arrived_at
-        return Exchange(
-            id=self._request_handler.next_request_id(),
-            class_index=class_index,
-            call_info=call_info,
-            request=request,
-            arrived_at=arrived_at,
-            deadline=min(arrived_at + timeout_ms, self._lifecycle.latest_deadline)
-            if request.is_complete
-            else math.inf,
-            streaming=request_class.streaming,
-            effect=request_class.effect,
-            tenant_index=self._tenants.get(call_info.owner, 0),
-            upload=None if request.is_complete else Upload(request.body, self._budget),
-            client_timeout_ms=timeout_ms,
-            key=platform.read_object_key(request) if request_class.in_turn or self._warm_keys else 0,
-            has_client_ended=session.connection.has_peer_closed,
+    def _retry_after_lines(self) -> tuple[bytes, ...]:
+        return (platform.retry_after_line(self._retry_after_ms),) if self._retry_after_ms else ()
+
+    async def _refuse_unread(self, session: ClientSession, reason: RefusalReason) -> None:
+        """Refuse a request that was not read to its end, and read and drop the rest. Some clients read the
+        response only after they have written the whole request.
+        """
+        self._counters.turn_away(reason)
+        session.parser.discard()
+        session.request_memory.release()
+        session.lingering, session.last_progress_at = True, asyncio.get_running_loop().time()
+        self._idle_unserved[session] = None
+        response_text = http1.encode_response(
+            503, self._retry_after_lines(), reason.value.encode(), close=True
         )
+        try:
+            async with asyncio.timeout(DISCARD_BODY_TIMEOUT_S):
+                await session.connection.write(response_text)
+                session.connection.shutdown_write()
+                while True:
+                    await session.connection.discard()
+        except (ConnectionLostError, TimeoutError):
+            pass
 
-    def _find_class(self, request: http1.Request, call_info: platform.CallInfo) -> tuple[int, RequestClass]:
-        request_class = self._classes.get(call_info.kind)
-        if request_class is None:
-            raise http1.MessageError(404, "unknown class of request")
-        class_by_path = self._classes.get(platform.first_path_segment(request.target), request_class)
-        # With the wrong class, a request that must not be repeated could be retried.
-        if class_by_path is not request_class:
-            raise http1.MessageError(400, "Req-Kind and path name two classes")
-        return request_class
-
-    async def _send_error(self, session: "_ClientSession", error: http1.MessageError) -> None:
+    async def _send_error(self, session: ClientSession, error: http1.MessageError) -> None:
         """Respond to an invalid request. Input is read for a while after that, since closing a connection
         with unread input would discard the response.
         """
@@ -534,13 +588,15 @@
         if not session.parser.has_partial_request and connection.is_idle():
             connection.write_and_close(_error_response(error))
             return
+        session.parser.discard()
+        session.request_memory.release()
         try:
             async with asyncio.timeout(LINGER_TIMEOUT_S):
                 await connection.write(_error_response(error))
                 connection.shutdown_write()
                 discarded_bytes = 0
                 while discarded_bytes < MAX_LINGER_BYTES:
-                    discarded_bytes += len(await connection.read())
+                    discarded_bytes += await connection.discard()
         except (ConnectionLostError, TimeoutError):
             pass
 
@@ -549,20 +605,6 @@
     return http1.encode_response(error.status, (), str(error).encode(), close=True)
 
 
-def _validate_request(effect: Effect, call_info: platform.CallInfo, request: http1.Request) -> None:
-    """Check that method, body and idempotency key fit the class. Otherwise a server could treat the request
-    differently from what the class promises.
-    """
-    if request.method != (b"GET" if effect is Effect.SAFE else b"POST"):
-        raise http1.MessageError(405, "method does not fit the class")
-    if effect is Effect.SAFE and (request.body or not request.is_complete):
-        raise http1.MessageError(400, "body on a request of a class that is safe to repeat")
-    if effect is Effect.KEYED and not call_info.has_idempotency_key:
-        raise http1.MessageError(400, "no Idempotency-Key on a request of a keyed class")
-    if effect is Effect.UNSAFE and call_info.has_idempotency_key:
-        raise http1.MessageError(400, "Idempotency-Key on a request of a class that has none")
-
-
 def _completed_response(
     response_future: "asyncio.Future[BufferedResponse | StreamedResponse]",
 ) -> BufferedResponse | StreamedResponse:
@@ -578,48 +620,3 @@
     """Mark a task's exception as retrieved, so that asyncio does not log it."""
     if not task.cancelled():
         task.exception()
-
-
-class _ClientSession:
-    """One connection of the application and the state of the request on it."""
-
-    __slots__ = (
-        "answered_early",
-        "connection",
-        "data_arrived_at",
-        "has_active_request",
-        "has_served",
-        "last_progress_at",
-        "lingering",
-        "parser",
-        "progress_bytes",
-        "reading_paused",
-        "task",
-        "uploading_exchange",
-    )
-
-    def __init__(self, connection: Connection, max_body: int) -> None:
-        self.connection = connection
-        self.parser = http1.RequestParser(max_body)
-        self.uploading_exchange: Exchange | None = None  # The request whose body is being received.
-        self.reading_paused = False  # Whether reading is paused because the upload buffer is full.
-        self.answered_early = False  # Whether the request was answered before the end of its body.
-        self.progress_bytes = 0  # Bytes of a body received since `last_progress_at`.
-        # True from the last byte of a request received to the last byte of its response sent.
-        self.has_active_request = False
-        # Whether an error was sent and what the client still sends is read and dropped.
-        self.lingering = False
-        # Loop time of the last of these: the connection was accepted, a request was answered, a request
-        # began, or enough of a body arrived.
-        self.last_progress_at = asyncio.get_running_loop().time()
-        # Earliest time at which the last data read can have arrived. A pipelined request waits in the
-        # socket's buffer.
-        self.data_arrived_at = 0.0
-        self.has_served = False  # Whether at least one request was answered.
-        self.task: asyncio.Task[None] | None = None
-
-    def is_idle(self) -> bool:
-        """Return whether no request is being received or handled and no data is unread."""
-        return (
-            not self.has_active_request and not self.parser.has_partial_request and self.connection.is_idle()
-        )
--- a/larkcrank/routing/exchange.py
+++ b/larkcrank/routing/exchange.py
@@ -10,11 +10,9 @@
 from larkcrank.core.interface import Effect, Result
 from larkcrank.protocol import http1
 from larkcrank.protocol.platform import CallInfo
-from larkcrank.transport.budget import BufferBudget
 from larkcrank.transport.connection import ConnectionLostError
+from larkcrank.transport.memory import MemoryAccount, MemoryUse
 
-# Limit on the part of a body that its endpoint has not read yet, while memory is plentiful.
-UPLOAD_BUFFER_BYTES = 512 * 1024
 MAX_BUFFERED_STREAM_PARTS = 1  # Parts of a streamed response buffered for a slow client.
 
 
@@ -41,11 +39,11 @@
     attempt consumes them.
 
     The start of the body stays buffered, so that it can be sent again, until the buffer exceeds the limit for
-    bodies kept in memory, `http1.MAX_BUFFERED_BODY_BYTES`.
+    bodies kept in memory, `http1.MAX_BUFFERED_BODY_BYTES`, or what memory allows if that is less.
     """
 
-    def __init__(self, first_part: bytes, budget: BufferBudget) -> None:
-        self._budget = budget
+    def __init__(self, first_part: bytes, memory: MemoryAccount) -> None:
+        self._memory = memory
         self._parts: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._dropped_part_count = 0  # Number of parts removed from the buffer.
@@ -68,7 +66,7 @@
         if data and not self.discarded:
             self._parts.append(data)
             self._buffered_bytes += len(data)
-            self._budget.reserve(len(data))
+            self._memory.reserve(len(data), MemoryUse.UPLOAD)
             self._drop_consumed_parts()
             self._changed.set()
 
@@ -79,11 +77,8 @@
         The deadline of the request counts from the body's last byte, so that byte must be read soon. The body
         is therefore buffered for a slow endpoint as far as memory allows.
         """
-        return (
-            self._buffered_bytes
-            > (http1.MAX_BUFFERED_BODY_BYTES if self._budget.is_used_up else UPLOAD_BUFFER_BYTES)
-            and not self.discarded
-        )
+        self._drop_consumed_parts()  # memory may have become scarce since the last part came
+        return self._buffered_bytes > self._memory.upload_allowance and not self.discarded
 
     async def wait_for_room(self) -> None:
         """Wait until reading from the client may continue."""
@@ -99,7 +94,7 @@
     def release(self) -> None:
         """Drop the body and return its remaining bytes to the budget. Later data is dropped too."""
         self.discarded = True
-        self._budget.release(self._buffered_bytes)
+        self._memory.release(self._buffered_bytes, MemoryUse.UPLOAD)
         self._buffered_bytes = 0
         self._parts.clear()
         self._changed.set()
@@ -137,14 +132,14 @@
         """While the buffer exceeds its limit, drop parts that the current attempt has consumed. The body then
         cannot be sent again.
         """
+        kept_bytes = min(http1.MAX_BUFFERED_BODY_BYTES, self._memory.upload_allowance)
         while (
-            self._buffered_bytes > http1.MAX_BUFFERED_BODY_BYTES
-            and self._reader.consumed_part_count > self._dropped_part_count
+            self._buffered_bytes > kept_bytes and self._reader.consumed_part_count > self._dropped_part_count
         ):
             dropped_bytes = len(self._parts.popleft())
             self._dropped_part_count += 1
             self._buffered_bytes -= dropped_bytes
-            self._budget.release(dropped_bytes)
+            self._memory.release(dropped_bytes, MemoryUse.UPLOAD)
             self._changed.set()
 
 
@@ -213,8 +208,7 @@
         if self.closed:
             return False
         self.closed = True
-        if self.upload is not None:
-            self.upload.release()
+        self._release_request()
         self._response.set_result(response)
         return True
 
@@ -260,7 +254,12 @@
         if self.closed:
             return False
         self.closed = self.abandoned = True
-        if self.upload is not None:
-            self.upload.release()
+        self._release_request()
         self._response.cancel()
         return True
+
+    def _release_request(self) -> None:
+        """Free the memory of the request, for which no further attempt may begin."""
+        self.request.release()
+        if self.upload is not None:
+            self.upload.release()
--- a/larkcrank/routing/relay.py
+++ b/larkcrank/routing/relay.py
@@ -8,23 +8,29 @@
 from larkcrank.protocol import http1, platform
 from larkcrank.routing.attempt import Attempt
 from larkcrank.routing.exchange import Exchange
-from larkcrank.transport.budget import BufferBudget, StreamReservation
 from larkcrank.transport.connection import Connection, ConnectionLostError
+from larkcrank.transport.memory import (
+    MEDIUM_READ_BYTES,
+    READS_HELD_PER_STREAM,
+    MemoryAccount,
+    MemoryReservation,
+    MemoryUse,
+)
 
 # Time without a byte of a streamed response after which its endpoint counts as gone.
 STREAM_READ_TIMEOUT_S = 20.0
 
 
 class StreamRelay:
-    """Forwards streamed responses, and holds no more of them than the memory budget allows."""
+    """Forwards streamed responses, and reads less of them at a time as memory gets scarce."""
 
     def __init__(
         self,
-        budget: BufferBudget,
+        memory: MemoryAccount,
         load_fields: tuple[str, ...],
         report_start: Callable[[Attempt], None],
     ) -> None:
-        self._budget = budget
+        self._memory = memory
         self._load_fields = load_fields
         self._report_start = report_start
 
@@ -44,7 +50,7 @@
         attempt.response_started = True
         exchange.on_client_gone = partial(attempt.end, Result.CANCELLED)
         self._report_start(attempt)
-        reservation = StreamReservation(self._budget)
+        reservation = MemoryReservation(self._memory, MemoryUse.STREAM)
         try:
             is_whole = await self._relay_parts(exchange, connection, parser, reservation)
             if exchange.stream_broken:  # The client has disconnected.
@@ -62,16 +68,19 @@
         else:
             attempt.end(Result.RESET)
 
-    @staticmethod
     async def _relay_parts(
+        self,
         exchange: Exchange,
         connection: Connection,
         parser: http1.ResponseParser,
-        reservation: StreamReservation,
+        reservation: MemoryReservation,
     ) -> bool:
         """Return whether the response has come whole. Stops early if the client disconnects."""
         while True:
-            read_size = reservation.reserve_read(len(exchange.request.body))
+            read_size = self._memory.read_size
+            if not parser.has_sized_body:
+                read_size = min(read_size, MEDIUM_READ_BYTES)
+            reservation.resize(READS_HELD_PER_STREAM * read_size)
             if part := parser.take_body():
                 await exchange.add_stream_part(part)
             if parser.complete or exchange.stream_broken:
--- a/larkcrank/routing/responses.py
+++ b/larkcrank/routing/responses.py
@@ -19,6 +19,7 @@
 )
 from larkcrank.transport.closing import CloseReason
 from larkcrank.transport.connection import Connection, ConnectionLostError, IdleInput
+from larkcrank.transport.memory import MEDIUM_READ_BYTES, SMALL_READ_BYTES, MemoryAccount
 from larkcrank.transport.reuse import ReuseGuard
 
 
@@ -45,6 +46,7 @@
         self,
         guard: ReuseGuard,
         records: AnswerRecords,
+        memory: MemoryAccount,
         max_body: int,
         clock: Callable[[], float],
         counters: CheckCounters,
@@ -52,6 +54,7 @@
     ) -> None:
         self._guard = guard
         self._records = records
+        self._memory = memory
         self._max_body = max_body
         self._clock = clock
         self._counters = counters
@@ -80,17 +83,26 @@
         self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser
     ) -> None:
         while parser.head is None:
-            parser.feed(await connection.read())
+            parser.feed(await connection.read(SMALL_READ_BYTES))
         attempt.answered_at = self._clock()
         is_long = (parser.head.content_length or 0) > http1.MAX_BUFFERED_BODY_BYTES
         if not attempt.is_on_reused_connection or parser.head.status != 200 or is_long:
             return
         while not parser.complete and parser.buffered_bytes <= http1.MAX_BUFFERED_BODY_BYTES:
-            try:
-                parser.feed(await connection.read())
-            except ConnectionLostError as error:
-                if not error.is_clean_close or not parser.handle_clean_close():
-                    raise
+            await self.read_more(attempt, connection, parser)
+
+    async def read_more(self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser) -> None:
+        """Read and parse what has come of a response, and count the memory that it takes.
+
+        Raises `ConnectionLostError` if the connection ends before the response is complete.
+        """
+        try:
+            parser.feed(await connection.read(min(self._memory.read_size, MEDIUM_READ_BYTES)))
+        except ConnectionLostError as error:
+            if not error.is_clean_close or not parser.handle_clean_close():
+                raise
+        # The body is copied when it is complete.
+        attempt.response_memory.resize(2 * parser.buffered_bytes)
 
     def _doubt_about(
         self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -16,7 +16,6 @@
 from larkcrank.routing.responses import CheckCounters, ResponseChecker
 from larkcrank.routing.trace import AttemptRecord, RecentAttempts
 from larkcrank.transport.answers import AnswerRecords
-from larkcrank.transport.budget import BufferBudget
 from larkcrank.transport.closing import CloseReason
 from larkcrank.transport.connection import (
     Connection,
@@ -24,6 +23,7 @@
     NoDescriptorError,
 )
 from larkcrank.transport.descriptors import DescriptorBudget
+from larkcrank.transport.memory import MemoryAccount, MemoryReservation, MemoryUse
 from larkcrank.transport.pool import ConnectionPool
 from larkcrank.transport.reuse import ReuseGuard
 from larkcrank.transport.turns import OPERATION_UNITS
@@ -48,7 +48,7 @@
         connect_timeout_ms: float,
         load_fields: tuple[str, ...],
         max_body: int,
-        budget: BufferBudget,
+        memory: MemoryAccount,
         clock: Callable[[], float],
         counters: ServerCounters,
         report_failure: Callable[[str, BaseException], None],
@@ -57,12 +57,12 @@
     ) -> None:
         reuse_guard, self._answer_records = ReuseGuard(), AnswerRecords()
         self._checker = ResponseChecker(
-            reuse_guard, self._answer_records, max_body, clock, counters, report_event
+            reuse_guard, self._answer_records, memory, max_body, clock, counters, report_event
         )
         self._connections = AttemptConnections(
             pool, descriptors, connect_timeout_ms, reuse_guard, self._answer_records, clock, counters
         )
-        self._relay = StreamRelay(budget, load_fields, lambda attempt: self.on_stream_started(attempt))
+        self._relay = StreamRelay(memory, load_fields, lambda attempt: self.on_stream_started(attempt))
         self._prober = Prober(descriptors, connect_timeout_ms, load_fields, counters, report_failure)
         pool.on_stray_answer = self._stray_answer_at_rest
         pool.on_rested = self._checker.confirm_answers
@@ -70,6 +70,7 @@
         # as gone, is still used.
         self._only_draining_binds = only_draining_binds
         self._connect_timeout_ms = connect_timeout_ms
+        self._memory = memory
         self._load_fields = load_fields
         self._max_body = max_body
         self._clock = clock
@@ -139,7 +140,15 @@
         With an infinite `stop_at_ms` the timeout starts once the upload is complete.
         """
         now = self._clock()
-        attempt = Attempt(exchange, attempt_index, address, now, begin_by_ms, self._attempt_ended)
+        attempt = Attempt(
+            exchange,
+            attempt_index,
+            address,
+            now,
+            begin_by_ms,
+            MemoryReservation(self._memory, MemoryUse.RESPONSE),
+            self._attempt_ended,
+        )
         self._attempts[exchange.id, attempt_index] = attempt
         if exchange.closed or address not in self._host_ports or stop_at_ms <= now:
             attempt.end(Result.NOT_SENT)
@@ -370,11 +379,7 @@
             attempt.end(result)
             return
         while not (parser.complete or is_long or (exchange.streaming and result is Result.OK)):
-            try:
-                parser.feed(await connection.read())
-            except ConnectionLostError as error:
-                if not error.is_clean_close or not parser.handle_clean_close():
-                    raise
+            await self._checker.read_more(attempt, connection, parser)
             is_long = parser.buffered_bytes > http1.MAX_BUFFERED_BODY_BYTES
         if attempt.ended:
             return
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -15,7 +15,11 @@
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
 from larkcrank.transport.turns import OPERATION_UNITS, WorkAllowance, running_turn_queue
 
-READ_CHUNK_BYTES = 64 * 1024
+READ_CHUNK_BYTES = 16 * 1024
+DISCARD_READ_BYTES = 4 * 1024
+DISCARDED_BYTES_PER_UNIT = 8  # nothing is parsed of them
+# After so many reads in a row that did not have to wait, other tasks run first.
+MAX_READY_READS = 2
 # The flags are combined once, because combining the enum members costs more than the system call.
 _PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 # Linux only: poll() reports that the peer has closed even if unread bytes come before the end.
@@ -53,6 +57,7 @@
         self._loop = asyncio.get_running_loop()
         self._allowance = WorkAllowance(self._loop.time())
         self._turns = running_turn_queue()
+        self._ready_reads = 0  # reads in a row that did not have to wait
         self._closed = False
         self.host_port: tuple[str, int] | None = None  # the remote address of an outgoing connection
         self.number = 0  # identifies a connection to an endpoint in the log
@@ -86,7 +91,20 @@
 
         Other connections go first if this one has used up its allowance of work.
         """
+        data = await self._read_unspent(max_bytes)
+        await self.spend(OPERATION_UNITS + len(data))
+        return data
+
+    async def _read_unspent(self, max_bytes: int) -> bytes:
+        """Return at least one byte, without counting the work that it makes."""
         pending = self.start_read(max_bytes)
+        if not pending.done():
+            self._ready_reads = 0
+        elif (ready_reads := self._ready_reads + 1) > MAX_READY_READS:
+            self._ready_reads = 0
+            await asyncio.sleep(0)
+        else:
+            self._ready_reads = ready_reads
         if pending.cancelled():
             raise ConnectionLostError("an earlier read was cancelled")
         try:
@@ -99,12 +117,17 @@
         # If the caller is cancelled, `_pending_read` keeps the cancelled read, because the stream can't start
         # another one. (asyncio.shield would avoid that, at the cost of one more loop iteration per read.)
         self._pending_read = None
-        await self.spend(OPERATION_UNITS + len(data))
         return data
 
+    async def discard(self) -> int:
+        """Read and drop input. Returns how many bytes. Raises `ConnectionLostError` at the stream's end."""
+        data = await self._read_unspent(DISCARD_READ_BYTES)
+        await self.spend(OPERATION_UNITS + len(data) // DISCARDED_BYTES_PER_UNIT)
+        return len(data)
+
     async def spend(self, units: int) -> None:
         """Count work for the peer, and let other connections go first if it exceeds the allowance."""
-        if not self._allowance.spend(units, self._loop.time()):
+        if not self._closed and not self._allowance.spend(units, self._loop.time()):
             await self._turns.take_turn(units)
 
     async def write(self, data: bytes) -> None:
--- a/larkcrank/transport/listener.py
+++ b/larkcrank/transport/listener.py
@@ -15,6 +15,8 @@
 
 ACCEPT_RETRY_S = 0.05
 MAX_ACCEPTS_PER_TURN = 64  # per turn of the event loop, so that other callbacks get to run
+# In place of that, while connections are to be accepted slowly; then accepting pauses for `ACCEPT_RETRY_S`.
+MAX_SLOW_ACCEPTS = 4
 
 
 class PassedSocketError(Exception):
@@ -44,8 +46,11 @@
         on_accept: Callable[[Connection], None],
         use: SocketUse = SocketUse.CLIENT,
         passed_socket: socket.socket | None = None,
+        must_accept_slowly: Callable[[], bool] = lambda: False,
     ) -> None:
+        """`must_accept_slowly` tells whether memory is too scarce for many further connections."""
         self._descriptors = descriptors
+        self._must_accept_slowly = must_accept_slowly
         self._on_accept = on_accept
         self._use = use
         self._loop = asyncio.get_running_loop()
@@ -68,7 +73,14 @@
 
     def _resume_accepting(self) -> None:
         if not self._closed:
-            self._loop.add_reader(self._socket.fileno(), self._accept_pending)
+            self._loop.add_reader(self._socket.fileno(), self._accept_some)
+
+    def _accept_some(self) -> None:
+        """Accept connections that are waiting, as many as one turn allows."""
+        if not self._must_accept_slowly():
+            self._accept_pending()
+        elif self._accept_pending(MAX_SLOW_ACCEPTS):
+            self._pause_accepting()
 
     def _accept_pending(self, max_connections: float = MAX_ACCEPTS_PER_TURN) -> bool:
         """Accept up to `max_connections` waiting connections. Returns False if descriptors ran out first."""
--- a/larkcrank/transport/turns.py
+++ b/larkcrank/transport/turns.py
@@ -11,11 +11,11 @@
 from weakref import WeakKeyDictionary
 
 # Work is counted in units of about the time that one byte of the costliest input takes.
-OPERATION_UNITS = 256  # of one read or write, besides one unit for each byte
+OPERATION_UNITS = 512  # of one read or write, besides one unit for each byte
 MESSAGE_UNITS = 1024  # of one request that is handled without leaving the process
-BURST_UNITS = 32 * 1024
-UNITS_PER_SECOND = 256 * 1024
-MAX_UNITS_PER_ITERATION = 32 * 1024  # of all connections beyond their allowance, in one iteration of the loop
+BURST_UNITS = 16 * 1024
+UNITS_PER_SECOND = 16 * 1024
+MAX_UNITS_PER_ITERATION = 64 * 1024  # of all connections beyond their allowance, in one iteration of the loop
 
 
 class WorkAllowance:
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -52,3 +52,22 @@
     stage = asyncio.run(play(shape, *arguments))
     assert_honest_client_was_served(stage)
     assert_memory_was_kept(stage)
+
+
+@pytest.mark.parametrize(
+    ("shape", "arguments"),
+    [
+        (shapes.many_fields, (340, 2600)),
+        (shapes.many_fields, (340, 90)),
+        (shapes.stopped_uploads, (340, 32_000_000, 4_000_000)),
+        (shapes.stopped_uploads, (340, 65_000, 64_990)),
+        (shapes.slow_readers, (340, 32_000_000, 65_000)),
+        (shapes.idle_connections, (900,)),
+    ],
+)
+def test_hundreds_of_slow_clients_stay_within_the_least_memory(
+    shape: Callable[..., None], arguments: tuple[Any, ...]
+) -> None:
+    stage = asyncio.run(play(shape, *arguments))
+    assert_memory_was_kept(stage)
+    assert_honest_client_was_served(stage)
