Long answers of unknown length are passed on before time is up; send buffers are bounded

Cause: an answer of unknown length counted as long only from 64 KiB on, so until then its attempt's timeout cut what the endpoint was still giving. Bodies: Linux reports a socket as writable once a third of its send buffer is free; buffers grew to 4 MB, of which a slow reader frees a third in 20 s, so it looked like one that has stopped. A request's time also began only when its last byte was read, which the sidecar itself delays while its buffer is full.

Change: an answer of unknown length begins to be passed on 100 ms before its attempt would time out, if a byte of its body has come or no other attempt can follow; a failure after that breaks the connection. Send buffers are 64 KiB to clients and 256 KiB to endpoints. While reading a body is paused, the request's time begins when the kernel has its last byte; time that reading was paused counts from the client's side unless the client is seen to be slower.

--- a/larkcrank/protocol/http1.py
+++ b/larkcrank/protocol/http1.py
@@ -218,6 +218,11 @@
         self.until_close = until_close  # whether the end of the connection marks the end of the body
         self.done = length == 0  # whether the whole body was decoded
 
+    @property
+    def bytes_left(self) -> int:
+        """How much of the body, or of the current chunk, has not been decoded."""
+        return self._bytes_left
+
     @property
     def is_chunked(self) -> bool:
         """Whether the body has the chunked coding."""
@@ -382,6 +387,13 @@
         body_bytes = max(self._head.content_length or 0, len(self._body))
         return len(self._buffer) + BODY_COPIES * body_bytes + self._head.fields.held_bytes
 
+    @property
+    def body_bytes_left(self) -> int | None:
+        """How many bytes must still be fed until the body is complete; None if its length is unknown."""
+        if self._body_decoder.is_chunked:
+            return None
+        return self._body_decoder.bytes_left - len(self._buffer)
+
     def discard(self) -> None:
         """Drop what has arrived, when nothing more is parsed."""
         self._buffer.clear()
@@ -558,6 +570,7 @@
     return data[: len(_RESPONSE_START)] == _RESPONSE_START[: len(data)]
 
 
+LAST_CHUNK = b"\r\n0\r\n\r\n"  # behind another one, without trailers
 CHUNKED_LINE = b"Transfer-Encoding: chunked"
 
 
--- a/larkcrank/routing/attempt.py
+++ b/larkcrank/routing/attempt.py
@@ -1,6 +1,7 @@
 """One attempt at sending a request to an endpoint."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from larkcrank.core.interface import Address, Result
@@ -35,6 +36,7 @@
         "response_started",
         "rested_ms",
         "started_at",
+        "stops_at_ms",
         "timer",
         "writing_started",
         "written_at",
@@ -58,6 +60,7 @@
         self.rested_ms = 0.0  # how long its connection had been idle; 0 if it is new
         self.written_at = self.answered_at = 0.0  # In ms of the process clock; 0 if not yet.
         self.timer: asyncio.TimerHandle | None = None
+        self.stops_at_ms = math.inf  # When it times out, on the process clock.
         self.begin_by_ms = begin_by_ms
         # Whether the first and the last byte of the request were passed to the kernel. Each is set just
         # before that byte is written.
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -49,6 +49,11 @@
 LINGER_TIMEOUT_S = 0.3
 MAX_LINGER_BYTES = 1 << 20
 SWEEP_INTERVAL_S = 0.2
+# While reading is paused, so often it is checked whether the client has sent everything.
+ARRIVAL_CHECK_INTERVAL_S = 0.05
+MAX_PEEKED_BYTES = 64 * 1024
+# A read that waits for longer waits for the client, not for what it had sent before on its way.
+CLIENT_WAIT_S = 0.05
 RETRY_AFTER_MS = 500.0  # told to clients whose requests do not fit into memory
 
 
@@ -370,7 +375,7 @@
         the body ends; the rest of the body is then read and dropped. Returns whether the connection
         stays open.
         """
-        session.uploading_exchange = exchange
+        session.uploading_exchange, session.paused_ms = exchange, 0.0
         session.mark_progress()
         self._active_request_ids.add(exchange.call_info.id)
         upload_task = asyncio.get_running_loop().create_task(self._read_upload(session, exchange, upload))
@@ -405,29 +410,50 @@
             if parser.expects_continue:
                 await session.connection.write(http1.CONTINUE_RESPONSE)
             while parser.is_streaming:
-                data = await session.connection.read(self._read_size(session))
-                parser.feed(data)
-                body_part = parser.take_part()
-                session.data_arrived_at = self._arrival_time()
-                upload.append(body_part)
-                session.count_body_bytes(len(data))
+                await self._read_upload_part(session, upload)
                 if parser.is_streaming and upload.is_full:
-                    session.reading_paused = True
                     with self._watch_for_close(session, exchange):
-                        await upload.wait_for_room()
-                    session.reading_paused = False
-                    session.mark_progress()
-            exchange.arrived_at = session.data_arrived_at
-            exchange.deadline = min(
-                exchange.arrived_at + exchange.client_timeout_ms, self._lifecycle.latest_deadline
-            )
+                        await self._pause_reading(session, exchange, upload)
             session.uploading_exchange = None
             upload.finish(complete=True)
-            self._request_handler.complete_upload(exchange)
+            self._handle_last_byte(exchange, session.data_arrived_at - session.paused_ms)
         except (ConnectionLostError, http1.MessageError):
             upload.finish(complete=False)
             raise
 
+    async def _read_upload_part(self, session: ClientSession, upload: Upload) -> None:
+        loop, parser, read_size = asyncio.get_running_loop(), session.parser, self._read_size(session)
+        started_at = loop.time()
+        must_wait = not session.connection.start_read(read_size).done()
+        data = await session.connection.read(read_size)
+        if must_wait and loop.time() - started_at > CLIENT_WAIT_S:
+            session.paused_ms = 0.0  # The client did not have the next part ready: the pauses cost nothing.
+        parser.feed(data)
+        body_part = parser.take_part()
+        session.data_arrived_at = self._arrival_time()
+        upload.append(body_part)
+        session.count_body_bytes(len(data))
+
+    async def _pause_reading(self, session: ClientSession, exchange: Exchange, upload: Upload) -> None:
+        """Read nothing until the endpoint has taken what came before. The client's time runs on if it has
+        sent everything.
+        """
+        started_at = asyncio.get_running_loop().time()
+        session.reading_paused = True
+        while upload.is_full:
+            if _has_sent_everything(session):
+                self._handle_last_byte(exchange, self._arrival_time() - session.paused_ms)
+            await upload.wait_for_room(ARRIVAL_CHECK_INTERVAL_S)
+        session.record_pause(asyncio.get_running_loop().time() - started_at)
+
+    def _handle_last_byte(self, exchange: Exchange, arrived_at: float) -> None:
+        """Start the time of a request whose client has sent the last byte. Later calls have no effect."""
+        if exchange.deadline < math.inf:
+            return
+        exchange.arrived_at = arrived_at
+        exchange.deadline = min(arrived_at + exchange.client_timeout_ms, self._lifecycle.latest_deadline)
+        self._request_handler.complete_upload(exchange)
+
     def _watch_for_close(self, session: ClientSession, exchange: Exchange) -> AbstractContextManager[None]:
         """Watch for the client disconnecting. While nothing is read from it, only polling the socket can
         tell.
@@ -601,6 +627,18 @@
             pass
 
 
+def _has_sent_everything(session: ClientSession) -> bool:
+    """Return whether the kernel has received the rest of the request's body."""
+    unread_bytes = session.connection.unread_bytes()
+    bytes_left = session.parser.body_bytes_left
+    if bytes_left is not None:
+        return unread_bytes >= bytes_left
+    # Whether chunks end here can only be guessed.
+    return 0 < unread_bytes <= MAX_PEEKED_BYTES and session.connection.peek(MAX_PEEKED_BYTES).endswith(
+        http1.LAST_CHUNK
+    )
+
+
 def _error_response(error: http1.MessageError) -> bytes:
     return http1.encode_response(error.status, (), str(error).encode(), close=True)
 
--- a/larkcrank/routing/exchange.py
+++ b/larkcrank/routing/exchange.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import contextlib
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -80,11 +81,13 @@
         self._drop_consumed_parts()  # memory may have become scarce since the last part came
         return self._buffered_bytes > self._memory.upload_allowance and not self.discarded
 
-    async def wait_for_room(self) -> None:
-        """Wait until reading from the client may continue."""
-        while self.is_full:
-            self._changed.clear()
-            await self._changed.wait()
+    async def wait_for_room(self, timeout_s: float) -> None:
+        """Wait until reading from the client may continue, but not longer than `timeout_s`."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while self.is_full:
+                    self._changed.clear()
+                    await self._changed.wait()
 
     def finish(self, complete: bool) -> None:
         """Record that no more parts follow; `complete` tells whether the last byte has arrived."""
--- a/larkcrank/routing/responses.py
+++ b/larkcrank/routing/responses.py
@@ -22,6 +22,9 @@
 from larkcrank.transport.memory import MEDIUM_READ_BYTES, SMALL_READ_BYTES, MemoryAccount
 from larkcrank.transport.reuse import ReuseGuard
 
+# So long before its attempt's timeout, a response of unknown length begins to be passed on.
+STREAM_START_MARGIN_MS = 100.0
+
 
 class CheckCounters(Protocol):
     """Counters that the checks increment."""
@@ -89,20 +92,50 @@
         if not attempt.is_on_reused_connection or parser.head.status != 200 or is_long:
             return
         while not parser.complete and parser.buffered_bytes <= http1.MAX_BUFFERED_BODY_BYTES:
-            await self.read_more(attempt, connection, parser)
+            if not await self.read_more(attempt, connection, parser):
+                return
 
-    async def read_more(self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser) -> None:
+    async def read_more(self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser) -> bool:
         """Read and parse what has come of a response, and count the memory that it takes.
 
+        Returns False if the response may be long and the time for its first bytes is nearly up.
         Raises `ConnectionLostError` if the connection ends before the response is complete.
         """
+        read_size = min(self._memory.read_size, MEDIUM_READ_BYTES)
+        if not await self._wait_for_input(attempt, connection, parser, read_size):
+            return False
         try:
-            parser.feed(await connection.read(min(self._memory.read_size, MEDIUM_READ_BYTES)))
+            parser.feed(await connection.read(read_size))
         except ConnectionLostError as error:
             if not error.is_clean_close or not parser.handle_clean_close():
                 raise
         # The body is copied when it is complete.
         attempt.response_memory.resize(2 * parser.buffered_bytes)
+        return True
+
+    @staticmethod
+    async def _wait_for_input(
+        attempt: Attempt, connection: Connection, parser: http1.ResponseParser, read_size: int
+    ) -> bool:
+        """Wait until a read has ended. Returns False if the response has to be passed on before that.
+
+        Only the first bytes of a long response are due in time. One that does not tell its length may turn
+        out long, so it is passed on as it comes when its attempt would otherwise time out. An attempt that
+        has given no byte of the body may still be followed by another one, unless time is up then.
+        """
+        if parser.head is None or parser.head.status != 200 or parser.head.content_length is not None:
+            return True
+        exchange = attempt.exchange
+        can_retry = attempt.stops_at_ms < exchange.deadline and not parser.buffered_bytes
+        if attempt.timer is None or exchange.closed or can_retry:
+            return True
+        time_left_ms = attempt.time_left_ms() - STREAM_START_MARGIN_MS
+        if time_left_ms <= 0.0:
+            return False
+        pending_read = connection.start_read(read_size)
+        if not pending_read.done():
+            await asyncio.wait((pending_read,), timeout=time_left_ms / 1000.0)
+        return pending_read.done()
 
     def _doubt_about(
         self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -167,6 +167,7 @@
                 self._start_timeout(attempt, exchange.deadline)
 
     def _start_timeout(self, attempt: Attempt, stop_at_ms: float) -> None:
+        attempt.stops_at_ms = stop_at_ms
         wait_s = max(stop_at_ms - self._clock(), 0.0) / 1000.0
         attempt.timer = self._loop.call_later(wait_s, self._attempt_timed_out, attempt)
 
@@ -379,7 +380,9 @@
             attempt.end(result)
             return
         while not (parser.complete or is_long or (exchange.streaming and result is Result.OK)):
-            await self._checker.read_more(attempt, connection, parser)
+            if not await self._checker.read_more(attempt, connection, parser):
+                is_long = True
+                break
             is_long = parser.buffered_bytes > http1.MAX_BUFFERED_BODY_BYTES
         if attempt.ended:
             return
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import errno
+import fcntl
 import select
 import socket
 import struct
+import termios
 from collections.abc import Callable
 from enum import Enum
 
@@ -22,6 +24,15 @@
 MAX_READY_READS = 2
 # The flags are combined once, because combining the enum members costs more than the system call.
 _PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
+# Linux reports a socket as writable once a third of its send buffer is free. A buffer that grows to megabytes
+# would make a slow reader look like one that has stopped. Clients are on the same machine, endpoints are not.
+_SEND_BUFFER_BYTES = {
+    SocketUse.CLIENT: 64 * 1024,
+    SocketUse.ATTEMPT: 256 * 1024,
+    SocketUse.DISCOVERY: 64 * 1024,
+    SocketUse.OPERATOR: 64 * 1024,
+}
+_INT = struct.Struct("i")
 # Linux only: poll() reports that the peer has closed even if unread bytes come before the end.
 POLLRDHUP = int(getattr(select, "POLLRDHUP", 0))
 
@@ -162,6 +173,22 @@
         except OSError:
             return IdleInput.END
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes the kernel has received that were not read."""
+        try:
+            answer = fcntl.ioctl(self.stream.socket, termios.FIONREAD, bytes(_INT.size))
+        except (OSError, AttributeError):
+            return 0  # it has been closed
+        (byte_count,) = _INT.unpack(answer)
+        return int(byte_count)
+
+    def peek(self, max_bytes: int) -> bytes:
+        """Return what the kernel has received that was not read, up to `max_bytes`, and leave it there."""
+        try:
+            return self.stream.socket.recv(max_bytes, _PEEK_FLAGS)
+        except (OSError, AttributeError):
+            return b""
+
     def has_peer_closed(self) -> bool:
         """Return whether the peer has closed the connection, even if the end of its data has not been read.
 
@@ -223,6 +250,7 @@
     """Return a connection on a socket whose descriptor the caller has already acquired."""
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES[use])
     return Connection(IOStream(sock, read_chunk_size=READ_CHUNK_BYTES), descriptors, use)
 
 
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -6,8 +6,11 @@
 
 import pytest
 
+from tests import hostile_answers
 from tests import hostile_bed as bed
 from tests import hostile_clients as shapes
+from tests.hostile_answers import Lumps
+from tests.hostile_endpoints import answer_body
 
 MEMORY_MB = 32.0  # the least that a deployment gives
 SOCKETS = 1024
@@ -71,3 +74,16 @@
     stage = asyncio.run(play(shape, *arguments))
     assert_memory_was_kept(stage)
     assert_honest_client_was_served(stage)
+
+
+@pytest.mark.parametrize(
+    "lumps", [Lumps("chunked", 168_000, 3.0), Lumps("close", 168_000, 3.0), Lumps("close", 100_000, 2.4)]
+)
+def test_an_answer_of_unknown_length_is_not_cut_while_it_comes(lumps: Lumps) -> None:
+    async def ask() -> list[bed.Answer]:
+        async with bed.stage() as stage:
+            return await hostile_answers.ask_for_lumps(stage, lumps, count=4, at_once=2)
+
+    for answer in asyncio.run(ask()):
+        assert (answer.status, answer.is_whole) == (200, True)
+        assert answer.body == answer_body(answer.request_id, lumps.size)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,10 +1,15 @@
 """Tests of the account of memory, and of what is refused when it is used up."""
 
 import asyncio
+import socket
 
 import pytest
 
 from larkcrank.protocol import http1
+from larkcrank.routing import clients
+from larkcrank.routing.sessions import ClientSession
+from larkcrank.transport.connection import wrap_socket
+from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
 from larkcrank.transport.memory import (
     LARGE_READ_BYTES,
     MEDIUM_READ_BYTES,
@@ -99,3 +104,35 @@
             await b.until(lambda: bed.sidecar.memory.held_bytes == 0)
 
     b.run(work())
+
+
+@pytest.mark.parametrize(
+    ("framing", "beginning", "rest"),
+    [
+        (b"Content-Length: 70000", bytes(100), bytes(69_900)),
+        (b"Transfer-Encoding: chunked", b"11170\r\n" + bytes(70_000), b"\r\n2\r\nxx\r\n0\r\n\r\n"),
+    ],
+)
+def test_the_last_byte_of_a_body_is_noticed_while_reading_is_paused(
+    framing: bytes, beginning: bytes, rest: bytes
+) -> None:
+    async def work() -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        theirs = socket.create_connection(listener.getsockname())
+        ours, _ = listener.accept()
+        descriptors = DescriptorBudget(64)
+        assert descriptors.acquire(SocketUse.CLIENT)
+        connection = wrap_socket(ours, descriptors, SocketUse.CLIENT)
+        session = ClientSession(connection, http1.MAX_BODY_BYTES, MemoryAccount(LIMIT_BYTES))
+        session.parser.feed(b"POST /take HTTP/1.1\r\nHost: a\r\n" + framing + b"\r\n\r\n" + beginning)
+        request = session.parser.next()
+        assert request is not None and not request.is_complete
+        theirs.sendall(rest[:-1])
+        assert not clients._has_sent_everything(session)
+        theirs.sendall(rest[-1:])
+        await b.until(lambda: clients._has_sent_everything(session))
+        connection.close()
+        theirs.close()
+        listener.close()
+
+    b.run(work())
