Request ids are remembered while an effect may follow, also by the process that takes over

Cause: an id was forgotten with its client, although an attempt that was written whole may still run; two processes of one sidecar knew nothing of each other's ids.

Change: RequestIds keeps the id of a request that may have run for the longest deadline or window and 1 s more (two generations; a tenth of the capacity at most, counted; then the oldest go first). On the connection of the hand-over the predecessor tells the ids that it takes, and the successor asks before it takes a request that is not safe; without an answer in 0.5 s it refuses. An older build neither asks nor answers and is not asked.

--- a/larkcrank/program/counters.py
+++ b/larkcrank/program/counters.py
@@ -16,6 +16,7 @@
     bad_requests: int = 0  # invalid or incomplete requests
     turned_away_full: int = 0  # requests answered 503 because too many were in progress
     turned_away_memory: int = 0  # requests answered 503 because memory was scarce
+    turned_away_unclaimed: int = 0  # requests answered 503 as the process before did not say if it had them
     served: int = 0  # requests answered by a server
     refused: int = 0  # requests that the balancer refused
     failed: int = 0  # requests that the sidecar answered with an error other than a refusal
@@ -55,6 +56,8 @@
                 self.turned_away_full += 1
             case RefusalReason.MEMORY:
                 self.turned_away_memory += 1
+            case RefusalReason.NO_CLAIM:
+                self.turned_away_unclaimed += 1
 
     def retry(self, last_result: Result | None) -> None:
         """Count a further attempt of a request whose last attempt ended like this."""
--- a/larkcrank/program/handover.py
+++ b/larkcrank/program/handover.py
@@ -13,15 +13,20 @@
 import zlib
 from collections.abc import Callable
 from pathlib import Path
+from typing import Protocol
 
 import msgspec
 
 from larkcrank.core.interface import Address
 from larkcrank.core.state import HandoverState
+from larkcrank.protocol import claims
+from larkcrank.protocol.claims import ClaimKind, ClaimMessage, ClaimParser
 
 VERSION = 1
 MAX_MESSAGE_BYTES = 8 << 20
 PREDECESSOR_TIMEOUT_S = 0.7  # for connecting to the predecessor, and again for reading its message
+CLAIM_TIMEOUT_S = 0.5  # for the answer to a claim; a request without one is not taken
+READ_BYTES = 64 * 1024
 _HEADER = struct.Struct(">8sII")  # magic, version, length of the body
 _MAGIC = b"larkhand"
 
@@ -36,6 +41,7 @@
     kinds: list[str]
     places: dict[Address, tuple[str, int]]  # host and port of each server
     learnt: HandoverState  # the learned state of the balancer
+    answers_claims: bool = False  # whether the sender answers claims of request ids
 
 
 class HandoverError(Exception):
@@ -73,6 +79,8 @@
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._reader, self._writer = reader, writer
         self._watch_task: asyncio.Task[None] | None = None
+        self._claims: dict[int, asyncio.Future[bool]] = {}  # by number
+        self._last_claim = 0
 
     async def read_message(self) -> bytes:
         """Return the body of the handover message. Raises `HandoverError`."""
@@ -89,18 +97,46 @@
         except (OSError, asyncio.IncompleteReadError):
             raise HandoverError("cut short") from None
 
-    def watch(self, on_exit: Callable[[], None]) -> None:
-        """Call `on_exit` once the predecessor has exited."""
-        self._watch_task = asyncio.get_running_loop().create_task(self._wait_for_exit(on_exit))
+    def watch(self, on_exit: Callable[[], None], on_known_id: Callable[[str], None]) -> None:
+        """Call `on_exit` once the predecessor has exited, and `on_known_id` for each request id it takes."""
+        self._watch_task = asyncio.get_running_loop().create_task(self._read_until_exit(on_exit, on_known_id))
 
-    async def _wait_for_exit(self, on_exit: Callable[[], None]) -> None:
+    async def claim(self, request_id: str) -> bool:
+        """Return whether a request may be taken: the predecessor has not taken one with this id.
+
+        If the predecessor exits, it may: all ids are known then. Raises `TimeoutError` without an answer.
+        """
+        self._last_claim += 1
+        number = self._last_claim
+        answer: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._claims[number] = answer
+        self._writer.write(claims.encode(ClaimMessage(ClaimKind.CLAIM, number, request_id)))
         try:
-            while await self._reader.read(4096):
-                pass
-        except OSError:
+            async with asyncio.timeout(CLAIM_TIMEOUT_S):
+                return await answer
+        finally:
+            del self._claims[number]
+
+    async def _read_until_exit(self, on_exit: Callable[[], None], on_known_id: Callable[[str], None]) -> None:
+        parser = ClaimParser()
+        try:
+            while data := await self._reader.read(READ_BYTES):
+                for message in parser.feed(data):
+                    if message.kind is ClaimKind.KNOWN:
+                        on_known_id(message.request_id)
+                    else:
+                        self._answer_claim(message.number, message.kind is ClaimKind.GRANTED)
+        except (OSError, ValueError):
             pass
         self._writer.close()
         on_exit()
+        for number in self._claims:
+            self._answer_claim(number, True)
+
+    def _answer_claim(self, number: int, is_granted: bool) -> None:
+        answer = self._claims.get(number)
+        if answer is not None and not answer.done():
+            answer.set_result(is_granted)
 
     def close(self) -> None:
         """Close the connection. `on_exit` is not called any more."""
@@ -122,6 +158,14 @@
         raise HandoverError(error.strerror or str(error)) from None
 
 
+class SharedIds(Protocol):
+    """The request ids that a process has taken."""
+
+    def __contains__(self, request_id: object) -> bool: ...
+    def remember(self, request_id: str) -> None: ...
+    def all_ids(self) -> list[str]: ...
+
+
 class HandoverServer:
     """Sends the handover message to successors and counts those that are connected.
 
@@ -133,9 +177,11 @@
         path: Path,
         make_message: Callable[[], bytes],
         on_count_change: Callable[[int], None],
+        request_ids: SharedIds,
     ) -> None:
         """`on_count_change` gets the number of connected successors each time it changes."""
         self._path, self._make_message, self._on_count_change = path, make_message, on_count_change
+        self._request_ids = request_ids
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -169,15 +215,34 @@
         self._on_count_change(len(self._writers))
         try:
             writer.write(self._make_message())
-            while await reader.read(4096):
-                pass
-        except OSError:
+            for request_id in self._request_ids.all_ids():
+                writer.write(claims.encode(ClaimMessage(ClaimKind.KNOWN, 0, request_id)))
+            parser = ClaimParser()
+            while data := await reader.read(READ_BYTES):
+                for message in parser.feed(data):
+                    self._answer(message, writer)
+        except (OSError, ValueError):
             pass
         finally:
             writer.close()
             self._writers.discard(writer)
             self._on_count_change(len(self._writers))
 
+    def tell_known(self, request_id: str) -> None:
+        """Tell all successors that a request is taken here."""
+        for writer in self._writers:
+            writer.write(claims.encode(ClaimMessage(ClaimKind.KNOWN, 0, request_id)))
+
+    def _answer(self, message: ClaimMessage, writer: asyncio.StreamWriter) -> None:
+        """Grant a claim, and remember its id, unless the id is known here."""
+        if message.kind is not ClaimKind.CLAIM:
+            return
+        is_known = message.request_id in self._request_ids
+        if not is_known:
+            self._request_ids.remember(message.request_id)
+        kind = ClaimKind.DENIED if is_known else ClaimKind.GRANTED
+        writer.write(claims.encode(ClaimMessage(kind, message.number, message.request_id)))
+
     def close(self) -> None:
         """Stop listening, and remove the path unless a successor has taken it over."""
         if self._server is None:
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -186,7 +186,9 @@
             self.log.event("handover_unusable", message=str(error))
         if self._predecessor is not None:
             self._set_other_processes(0, 1)
-            self._predecessor.watch(self._on_predecessor_exit)
+            self._predecessor.watch(self._on_predecessor_exit, self.clients.request_ids.remember)
+            if message is not None and message.answers_claims:
+                self.clients.claim_id = self._predecessor.claim
         self._load_initial_servers(message)
         if must_wait:
             wait_until = asyncio.get_running_loop().time() + DISCOVERY_WAIT_S
@@ -197,8 +199,12 @@
 
     async def _start_handover_server(self, path: Path) -> None:
         self._handover_server = handover.HandoverServer(
-            path, self._handover_message, lambda count: self._set_other_processes(1, count)
+            path,
+            self._handover_message,
+            lambda count: self._set_other_processes(1, count),
+            self.clients.request_ids,
         )
+        self.clients.request_ids.on_begin = self._handover_server.tell_known
         try:
             await self._handover_server.start()
         except OSError as error:  # the next process starts without a handover; this one can still serve
@@ -214,6 +220,7 @@
             self._names.kinds,
             self._servers.host_ports(),
             self._balancer.export_state(),
+            answers_claims=True,
         )
         return handover.encode(message)
 
@@ -232,6 +239,7 @@
         self.log.event("processes", beside=sum(self._other_processes))
 
     def _on_predecessor_exit(self) -> None:
+        self.clients.claim_id = None
         self._set_other_processes(0, 0)
         if self.lifecycle.phase is not Phase.STARTING:
             self._join_fleet()
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -3,17 +3,18 @@
 import asyncio
 import math
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import AbstractContextManager
 from enum import Enum
 from functools import partial
 from typing import Any, Protocol
 
-from larkcrank.core.interface import Settings
+from larkcrank.core.interface import Effect, Settings
 from larkcrank.protocol import http1, platform
 from larkcrank.routing.exchange import BufferedResponse, Exchange, StreamedResponse, Upload
 from larkcrank.routing.life import Lifecycle
 from larkcrank.routing.request_check import RequestCheck
+from larkcrank.routing.request_ids import RequestIds
 from larkcrank.routing.sessions import ClientSession
 from larkcrank.transport.closewatch import CloseWatcher
 from larkcrank.transport.connection import Connection, ConnectionLostError
@@ -62,6 +63,7 @@
 
     TOO_MANY_REQUESTS = "too many requests in hand"
     MEMORY = "too little memory"
+    NO_CLAIM = "another process does not answer"
 
 
 class _RefusedError(http1.MessageError):
@@ -124,7 +126,10 @@
         self._idle_unserved: OrderedDict[ClientSession, None] = OrderedDict()
         # Sessions that are idle after at least one response, in the same order.
         self._idle_served: OrderedDict[ClientSession, None] = OrderedDict()
-        self._active_request_ids: set[str] = set()  # Ids of the requests being handled.
+        self.request_ids = RequestIds(memory, _longest_effect_s(settings))
+        # Asks another process of this sidecar whether an id may be taken; None if there is none. Raises
+        # `TimeoutError` if that process does not answer.
+        self.claim_id: Callable[[str], Awaitable[bool]] | None = None
         self._close_watch = CloseWatcher()
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._descriptors = descriptors
@@ -328,19 +333,28 @@
             status = 200 if self._lifecycle.is_ready else 503
             return await self._write_buffered_response(session, request, status, (), b"")
         # An invalid request raises MessageError, which closes the connection.
-        exchange = self._request_check.create_exchange(request, session, self._active_request_ids)
+        exchange = self._request_check.create_exchange(request, session, self.request_ids)
         if (reason := self._reason_to_turn_away(session, request)) is not None:
             return await self._turn_away(session, request, exchange, reason)
-        if exchange.upload is not None:
-            return await self._handle_upload(session, request, exchange, exchange.upload)
-        self._active_request_ids.add(exchange.call_info.id)
+        request_id, is_safe = exchange.call_info.id, exchange.effect is Effect.SAFE
+        self.request_ids.begin(request_id, is_shared=not is_safe)
         try:
+            if not is_safe and self.claim_id is not None:
+                try:
+                    is_granted = await self.claim_id(request_id)
+                except TimeoutError:
+                    return await self._turn_away(session, request, exchange, RefusalReason.NO_CLAIM)
+                if not is_granted:
+                    raise http1.MessageError(409, "another process has a request with this Req-Id")
+            if exchange.upload is not None:
+                return await self._handle_upload(session, request, exchange, exchange.upload)
             self._request_handler.start_request(exchange)
             return await self._await_response(session, request, exchange)
         finally:
-            self._active_request_ids.discard(exchange.call_info.id)
             # Ends the exchange if there is no response yet; has no effect after a response.
             self._request_handler.handle_client_gone(exchange)
+            may_run_again = is_safe and not exchange.abandoned
+            self.request_ids.end(request_id, exchange.written_attempts > 0 and not may_run_again)
 
     def _reason_to_turn_away(self, session: ClientSession, request: http1.Request) -> RefusalReason | None:
         """Count the memory that a request takes, and return why it is not taken, if it is not."""
@@ -377,7 +391,6 @@
         """
         session.uploading_exchange, session.paused_ms = exchange, 0.0
         session.mark_progress()
-        self._active_request_ids.add(exchange.call_info.id)
         upload_task = asyncio.get_running_loop().create_task(self._read_upload(session, exchange, upload))
         try:
             self._request_handler.start_request(exchange)
@@ -400,8 +413,6 @@
             session.uploading_exchange = None
             # If the upload task is still running, it ends when the connection closes.
             upload_task.add_done_callback(_consume_exception)
-            self._active_request_ids.discard(exchange.call_info.id)
-            self._request_handler.handle_client_gone(exchange)
 
     async def _read_upload(self, session: ClientSession, exchange: Exchange, upload: Upload) -> None:
         """Read the body of an upload. The deadline of the request counts from the body's last byte."""
@@ -627,6 +638,12 @@
             pass
 
 
+def _longest_effect_s(settings: Settings) -> float:
+    """Return for how long a request may still run, or be repeated by its key, after it has ended here."""
+    times_ms = (max(request_class.deadline_ms, request_class.window_ms) for request_class in settings.classes)
+    return max(times_ms, default=0.0) / 1000.0
+
+
 def _has_sent_everything(session: ClientSession) -> bool:
     """Return whether the kernel has received the rest of the request's body."""
     unread_bytes = session.connection.unread_bytes()
