A request is not sent to the process that took over its server's old address

Places of servers that are gone were kept without bound.

Change: place and start time are compared once more when the connection is up; an attempt whose server has moved or started anew ends unsent. What is gone, or missing from a whole list, has no place any more.

--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -103,6 +103,8 @@
             listed_addresses = {endpoint.address for endpoint in server_list.endpoints}
             for address in self._ready - listed_addresses:
                 self._retire(address)
+            for address in self._host_ports.keys() - listed_addresses:
+                self._forget_place(address)
         for endpoint in server_list.endpoints:
             address, host_port = endpoint.address, server_list.host_ports.get(endpoint.address)
             if endpoint.state is State.GONE and self._only_draining_binds:
@@ -111,6 +113,8 @@
                 continue
             if endpoint.state is not State.READY:
                 self._retire(address)
+                if endpoint.state is State.GONE:
+                    self._forget_place(address)
                 continue
             if self._host_ports.get(address, host_port) != host_port or (
                 self._started_at.get(address, endpoint.started_at) != endpoint.started_at
@@ -127,6 +131,11 @@
         self._ready.discard(address)
         self._connections.retire(address)
 
+    def _forget_place(self, address: Address) -> None:
+        """Forget where a server was that is gone. What listens there next is another process."""
+        self._host_ports.pop(address, None)
+        self._started_at.pop(address, None)
+
     def start_attempt(
         self,
         exchange: Exchange,
@@ -273,10 +282,12 @@
         """Connect, send the request and handle the response. Raises an error if the attempt fails."""
         if not self._may_start_writing(attempt):
             return  # Checked before taking a pooled connection, which other attempts may need.
-        host_port = self._host_ports[attempt.address]
+        host_port, started_at = self._host_ports[attempt.address], self._started_at.get(attempt.address)
         connection = self._connections.take_idle(attempt, host_port)
         if connection is None:
             connection = await self._connections.open(attempt, host_port)
+            if self._has_process_changed(attempt.address, host_port, started_at):
+                attempt.end(Result.NOT_SENT)  # It is connected to what listens at the old address now.
             if not self._may_start_writing(attempt):
                 return
         # There is no await between the last check and writing the first byte, so the check still holds
@@ -318,6 +329,12 @@
             attempt.end(Result.NOT_SENT)  # The beginning of the body is no longer there.
         return not attempt.ended
 
+    def _has_process_changed(
+        self, address: Address, host_port: tuple[str, int], started_at: float | None
+    ) -> bool:
+        """Return whether a server has been listed anew with another place or start time."""
+        return (self._host_ports.get(address), self._started_at.get(address)) != (host_port, started_at)
+
     def _mark_written(self, attempt: Attempt) -> None:
         if not attempt.ended:
             attempt.fully_written = True
