--- a/tests/hostile_bed.py
+++ b/tests/hostile_bed.py
@@ -62,6 +62,7 @@
     ended_at: float = 0.0
     is_whole: bool = False
     retry_after: bool = False
+    closes: bool = False  # whether the connection ends after it
 
     @property
     def seconds(self) -> float:
@@ -146,6 +147,7 @@
     def runs(self) -> list[Run]:
         """Return the requests that endpoints have received whole."""
         self.endpoint_pipe.send("runs")
+        assert self.endpoint_pipe.poll(START_TIMEOUT_S), "the endpoints do not answer"
         runs: list[Run] = self.endpoint_pipe.recv()
         return runs
 
@@ -244,6 +246,7 @@
     head = (await reader.readuntil(b"\r\n\r\n")).lower()
     answer.status, answer.first_byte_at = int(head.split()[1]), time.monotonic()
     answer.retry_after = b"retry-after:" in head
+    answer.closes = b"connection: close" in head
     body = bytearray()
     if b"transfer-encoding" in head:
         while (size := int(await reader.readline(), 16)) > 0:
@@ -273,6 +276,7 @@
         target=endpoints.run_endpoints, args=(their_pipe, endpoint_count), daemon=True
     )
     platform.start()
+    assert pipe.poll(START_TIMEOUT_S), "the endpoints did not start"
     discovery_port, server_list = pipe.recv()
     settings = CONFIG | {"grades": CLASSES, "n-instances": 1, "registry-mode": "subscribe"} | setting_changes
     config = {
