--- a/larkcrank/program/counters.py
+++ b/larkcrank/program/counters.py
@@ -4,7 +4,7 @@
 
 from larkcrank.core.interface import Result
 from larkcrank.routing.clients import RefusalReason
-from larkcrank.transport.closing import CloseReason
+from larkcrank.transport.closing import ClientCloseReason, CloseReason, PauseReason
 
 
 @dataclass(slots=True)
@@ -36,6 +36,8 @@
     crashed: int = 0  # unexpected exceptions
     outcomes: dict[str, int] = field(default_factory=lambda: {result.value: 0 for result in Result})
     closes: dict[str, int] = field(default_factory=dict)  # connections to endpoints closed, by reason
+    client_closes: dict[str, int] = field(default_factory=dict)  # clients' connections closed, by reason
+    pauses: dict[str, int] = field(default_factory=dict)  # how often a body was not read on, by reason
     # By the result of the attempt before, or "unsent":
     retries: dict[str, int] = field(default_factory=dict)  # attempts beyond a request's first
     refusals: dict[str, int] = field(default_factory=dict)  # requests in `refused`
@@ -49,6 +51,14 @@
         """Count a closed connection to an endpoint."""
         _increment(self.closes, reason.value)
 
+    def close_client(self, reason: ClientCloseReason) -> None:
+        """Count a closed connection of a client."""
+        _increment(self.client_closes, reason.value)
+
+    def pause(self, reason: PauseReason) -> None:
+        """Count that nothing was read of a body for a while."""
+        _increment(self.pauses, reason.value)
+
     def turn_away(self, reason: RefusalReason) -> None:
         """Count a request that was refused before it was taken."""
         match reason:
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -29,6 +29,7 @@
 from larkcrank.transport.listener import Listener
 from larkcrank.transport.memory import MemoryAccount, Pressure
 from larkcrank.transport.pool import ConnectionPool
+from larkcrank.transport.turns import running_turn_queue
 
 if TYPE_CHECKING:
     from larkcrank.program.together import FleetMember
@@ -381,7 +382,10 @@
         """Log all counters in one event."""
         fleet_counters = {} if self._fleet_member is None else self._fleet_member.counters()
         memory = self._memory_monitor.as_dict()
-        self.log.event("counters", **self.counters.as_dict(), memory=memory, **fleet_counters)
+        turns = running_turn_queue().waits
+        self.log.event(
+            "counters", **self.counters.as_dict(), memory=memory, turn_waits=turns, **fleet_counters
+        )
 
     def log_diagnostics(self) -> None:
         """Log the most recent attempts in one event, if there were any, and all counters in another."""
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -17,6 +17,7 @@
 from larkcrank.routing.request_ids import RequestIds
 from larkcrank.routing.sessions import ClientSession
 from larkcrank.transport.closewatch import CloseWatcher
+from larkcrank.transport.closing import ClientCloseReason, PauseReason
 from larkcrank.transport.connection import Connection, ConnectionLostError
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
 from larkcrank.transport.memory import (
@@ -74,6 +75,10 @@
         self.reason = reason
 
 
+class _ClientStoppedReadingError(ConnectionLostError):
+    """The client has not read any of its response for too long."""
+
+
 class RequestHandler(Protocol):
     """The interface to which the client side passes requests."""
 
@@ -93,6 +98,10 @@
 
     def turn_away(self, reason: RefusalReason) -> None: ...
 
+    def close_client(self, reason: ClientCloseReason) -> None: ...
+
+    def pause(self, reason: PauseReason) -> None: ...
+
 
 class ClientConnections:
     """Serves the application's connections, handling one request at a time on each."""
@@ -162,23 +171,25 @@
         now = asyncio.get_running_loop().time()
         for session in list(self._sessions.values()):
             if now - session.last_progress_at >= min_idle_s and session.is_idle():
-                session.connection.close()
+                session.close(ClientCloseReason.SHUTDOWN)
         return sum(not session.connection.closed for session in self._sessions.values())
 
     def abort_all(self) -> None:
         """Abort every connection. A client can tell that a response cut off this way is incomplete."""
         for session in self._sessions.values():
+            session.close_reason = ClientCloseReason.SHUTDOWN
             session.connection.abort()
             if session.task is not None:
                 session.task.cancel()
 
-    def _evict_idle(self) -> bool:
+    def _evict_idle(self, reason: ClientCloseReason = ClientCloseReason.EVICTED) -> bool:
         """Close one idle connection, preferring those that were never served, if it has been idle for the
         minimum time. Returns whether one was closed.
         """
         idle_since = asyncio.get_running_loop().time() - MIN_IDLE_BEFORE_EVICTION_S
-        return self._close_longest_idle(self._idle_unserved, idle_since) or self._close_longest_idle(
-            self._idle_served, idle_since
+        return any(
+            self._close_longest_idle(idle_sessions, idle_since, reason)
+            for idle_sessions in (self._idle_unserved, self._idle_served)
         )
 
     def _longest_idle_since(self) -> float:
@@ -193,14 +204,19 @@
         )
 
     @staticmethod
-    def _close_longest_idle(idle_sessions: "OrderedDict[ClientSession, None]", idle_since: float) -> bool:
+    def _close_longest_idle(
+        idle_sessions: "OrderedDict[ClientSession, None]", idle_since: float, reason: ClientCloseReason
+    ) -> bool:
         """Close the longest idle connection if it has been idle since `idle_since` or earlier."""
         while idle_sessions and (session := next(iter(idle_sessions))).last_progress_at <= idle_since:
             # Removed even if it is not closed: then it has unread data and is about to become active.
             del idle_sessions[session]
-            if session.lingering or session.connection.is_idle():
+            if session.lingering:
                 session.connection.close()
                 return True
+            if session.connection.is_idle():
+                session.close(reason)
+                return True
         return False
 
     def _sweep(self) -> None:
@@ -219,20 +235,26 @@
                 continue
             if session.parser.has_partial_request:
                 self._counters.bad_requests += 1
+                session.close_reason = ClientCloseReason.SILENT
                 session.connection.write_and_close(
                     _error_response(http1.MessageError(408, "request not whole in time"))
                 )
             elif session.connection.is_idle():
-                session.connection.close()
+                session.close(ClientCloseReason.IDLE_TIME)
+        self._close_spare_connections(now)
+        self._sweep_timer = (
+            asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep) if self._sessions else None
+        )
+
+    def _close_spare_connections(self, now: float) -> None:
+        """Close idle connections while descriptors or memory are short."""
+        idle_since, reason = now - MIN_KEEPALIVE_S, ClientCloseReason.IDLE_TIME
         while self._descriptors.used_share(
             SocketUse.CLIENT
-        ) > IDLE_CLOSE_THRESHOLD and self._close_longest_idle(self._idle_served, now - MIN_KEEPALIVE_S):
+        ) > IDLE_CLOSE_THRESHOLD and self._close_longest_idle(self._idle_served, idle_since, reason):
             pass
-        while self._memory.pressure >= Pressure.HIGH and self._evict_idle():
+        while self._memory.pressure >= Pressure.HIGH and self._evict_idle(ClientCloseReason.MEMORY):
             pass
-        self._sweep_timer = (
-            asyncio.get_running_loop().call_later(SWEEP_INTERVAL_S, self._sweep) if self._sessions else None
-        )
 
     def _mark_idle(self, session: ClientSession) -> None:
         """Mark a connection as idle until something is read from it."""
@@ -248,12 +270,17 @@
             try:
                 await self._serve_requests(session)
                 return
+            except _ClientStoppedReadingError:
+                session.close_reason = ClientCloseReason.STOPPED_READING
+                return
             except http1.MessageError as error:
                 # Its traceback would keep what was parsed until the connection closes.
                 rejection = error.with_traceback(None)
             if isinstance(rejection, _RefusedError):
+                session.close_reason = ClientCloseReason.REFUSED_UNREAD
                 await self._refuse_unread(session, rejection.reason)
             else:
+                session.close_reason = ClientCloseReason.INVALID_REQUEST
                 await self._send_error(session, rejection)
         except ConnectionLostError:
             pass
@@ -262,6 +289,7 @@
             self._report_failure("client connection", error)
         finally:
             connection.close()
+            self._counters.close_client(session.close_reason)
             session.release_memory()
             self._mark_active(session)
             self._sessions.pop(connection, None)
@@ -274,6 +302,8 @@
             keep_open = await self._handle_request(session, request)
             await session.connection.spend(MESSAGE_UNITS)
             session.has_served, session.last_progress_at = True, asyncio.get_running_loop().time()
+        if session.close_reason is ClientCloseReason.CLOSED_BY_PEER:
+            session.close_reason = ClientCloseReason.LAST_RESPONSE
 
     async def _read_request(self, session: ClientSession) -> http1.Request:
         """Read the next request, marking the session as idle until its first byte arrives."""
@@ -451,6 +481,8 @@
         """
         started_at = asyncio.get_running_loop().time()
         session.reading_paused = True
+        is_memory_scarce = self._memory.pressure >= Pressure.HIGH
+        self._counters.pause(PauseReason.MEMORY if is_memory_scarce else PauseReason.SLOW_ENDPOINT)
         while upload.is_full:
             if _has_sent_everything(session):
                 self._handle_last_byte(exchange, self._arrival_time() - session.paused_ms)
@@ -562,6 +594,7 @@
             if part:
                 await self._write_bytes(connection, http1.encode_chunk(part) if chunked else part)
         if exchange.stream_broken:
+            session.close_reason = ClientCloseReason.BROKEN_RESPONSE
             connection.abort()  # The client can tell that the body is incomplete, whatever its framing.
             return False
         if chunked:
@@ -575,7 +608,7 @@
             async with asyncio.timeout(CLIENT_WRITE_TIMEOUT_S):
                 await connection.write(data)
         except TimeoutError:
-            raise ConnectionLostError("the client stopped reading the response") from None
+            raise _ClientStoppedReadingError("the client stopped reading the response") from None
 
     def _should_close(self, session: ClientSession, request: http1.Request) -> bool:
         """Whether the connection closes after this response: the client or the lifecycle asks for it, an
--- a/larkcrank/routing/sessions.py
+++ b/larkcrank/routing/sessions.py
@@ -4,6 +4,7 @@
 
 from larkcrank.protocol import http1
 from larkcrank.routing.exchange import Exchange
+from larkcrank.transport.closing import ClientCloseReason
 from larkcrank.transport.connection import Connection
 from larkcrank.transport.memory import CONNECTION_BYTES, MemoryAccount, MemoryReservation, MemoryUse
 
@@ -16,6 +17,7 @@
 
     __slots__ = (
         "answered_early",
+        "close_reason",
         "connection",
         "connection_memory",
         "data_arrived_at",
@@ -54,6 +56,7 @@
         # Earliest time at which the last data read can have arrived. A pipelined request waits in the
         # socket's buffer.
         self.data_arrived_at = 0.0
+        self.close_reason = ClientCloseReason.CLOSED_BY_PEER  # If it is not set before the connection ends.
         self.has_served = False  # Whether at least one request was answered.
         self.task: asyncio.Task[None] | None = None
 
@@ -81,6 +84,11 @@
         if self.progress_bytes >= REQUEST_PROGRESS_BYTES:
             self.mark_progress()
 
+    def close(self, reason: ClientCloseReason) -> None:
+        """Close the connection."""
+        self.close_reason = reason
+        self.connection.close()
+
     def release_memory(self) -> None:
         """Drop what has arrived, and stop counting the connection and its request."""
         self.parser.discard()
--- a/larkcrank/transport/closing.py
+++ b/larkcrank/transport/closing.py
@@ -1,4 +1,4 @@
-"""Why connections to endpoints are closed, for the counters."""
+"""Why connections are closed and reading is paused, for the counters."""
 
 from enum import Enum
 
@@ -25,3 +25,26 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     NOT_SENT = "not sent"
+
+
+class ClientCloseReason(Enum):
+    """Why a client's connection was closed. The values are names of counters."""
+
+    CLOSED_BY_PEER = "closed by peer"
+    IDLE_TIME = "idle time"
+    SILENT = "request not whole in time"
+    EVICTED = "evicted"  # another connection needed its descriptor
+    MEMORY = "memory"  # it was idle while memory was scarce
+    INVALID_REQUEST = "invalid request"
+    REFUSED_UNREAD = "refused unread"  # a request that was refused before it had arrived whole
+    LAST_RESPONSE = "last response"  # the client, a shutdown or want of room ended it after a response
+    STOPPED_READING = "stopped reading"
+    BROKEN_RESPONSE = "broken response"  # the endpoint did not finish what had begun
+    SHUTDOWN = "shutdown"
+
+
+class PauseReason(Enum):
+    """Why nothing is read of a body for a while. The values are names of counters."""
+
+    SLOW_ENDPOINT = "slow endpoint"
+    MEMORY = "memory"
--- a/tests/test_diagnostics.py
+++ b/tests/test_diagnostics.py
@@ -13,6 +13,7 @@
 from larkcrank.routing import trace
 from larkcrank.routing.probes import Prober
 from larkcrank.transport.descriptors import DescriptorBudget
+from larkcrank.transport.memory import MemoryUse
 from tests import bed as testbed
 
 
@@ -66,3 +67,33 @@
         assert result is Result.CONNECT_FAILED and counters.crashed == 0
 
     testbed.run(scenario())
+
+
+def test_why_connections_of_clients_close_and_requests_are_turned_away_is_counted() -> None:
+    async def work() -> None:
+        async with testbed.bed(testbed.Endpoint("s-1")) as bed:
+            counters, memory = bed.sidecar.counters, bed.sidecar.memory
+            client = await bed.client()
+            client.writer.write(b"GET /nothing/1 HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\n\r\n")
+            assert (await client.read_response()).status == 404
+            last = await bed.client()
+            assert (await last.call("view", 8.0, "", b"Connection: close")).status == 200
+            held_bytes = int(memory.capacity_bytes)
+            memory.reserve(held_bytes, MemoryUse.STREAM)
+            refused = await bed.client()
+            assert (await refused.call("view")).status == 503
+            memory.release(held_bytes, MemoryUse.STREAM)
+            (await bed.client()).close()
+            await testbed.until(lambda: sum(counters.client_closes.values()) == 4)
+            assert counters.client_closes == {
+                "invalid request": 1,
+                "last response": 2,
+                "closed by peer": 1,
+            }
+            assert counters.turned_away_memory == 1
+            bed.sidecar.log_diagnostics()
+            logged = bed.log_lines()[-1]
+            assert logged["event"] == "counters"
+            assert logged["memory"]["held"]["streams"] == 0 and logged["memory"]["pressure"] == "none"
+
+    testbed.run(work())
