Memory of long answers and of two processes counts as it is; a start measures itself before it accepts

Remembered ids counted as messages. The program's own memory was measured after accepting had begun, and with shared memory fixed at the start, which left two processes next to nothing.

Change: the short answer's count ends when it is passed on; parts are handed over in pieces of a read and dropped once encoded; while memory is scarce an answer of unknown length is passed on from 8 KiB on; shared memory counts where what the program leaves of the limit is three times as much; the program is measured before it accepts.

--- a/larkcrank/program/memory_monitor.py
+++ b/larkcrank/program/memory_monitor.py
@@ -49,7 +49,9 @@
             self._timer.cancel()
 
     def record_program(self) -> None:
-        """Take what the process uses now for what the program itself needs."""
+        """Take what the process uses now for what the program itself needs, if `start` was called."""
+        if self._timer is None:
+            return
         self._look()
         self._account.set_program_bytes(self._private_bytes, self._shared_bytes)
 
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -305,6 +305,7 @@
         self._initial_server_count = len(server_list.endpoints)
 
     def _start_accepting(self) -> None:
+        self._memory_monitor.record_program()
         self._listener.start()
         self.lifecycle.start()
         self._join_fleet()
@@ -412,7 +413,6 @@
             start_task.result()
             gc.collect()
             gc.freeze()  # objects that live as long as the process need no further garbage collection
-            self._memory_monitor.record_program()
         await shutdown_wait
         start_task.cancel()  # has an effect only if shutdown was requested before the start completed
         # A cancelled start may still release resources; they are closed only after it has ended.
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -592,7 +592,9 @@
         await self._write_bytes(connection, head)
         while (part := await exchange.next_stream_part()) is not None:
             if part:
-                await self._write_bytes(connection, http1.encode_chunk(part) if chunked else part)
+                text = http1.encode_chunk(part) if chunked else part
+                del part  # Not held besides its chunk while a slow client reads that.
+                await self._write_bytes(connection, text)
         if exchange.stream_broken:
             session.close_reason = ClientCloseReason.BROKEN_RESPONSE
             connection.abort()  # The client can tell that the body is incomplete, whatever its framing.
--- a/larkcrank/routing/relay.py
+++ b/larkcrank/routing/relay.py
@@ -50,6 +50,7 @@
         attempt.response_started = True
         exchange.on_client_gone = partial(attempt.end, Result.CANCELLED)
         self._report_start(attempt)
+        attempt.response_memory.release()  # Counted as a stream from now on.
         reservation = MemoryReservation(self._memory, MemoryUse.STREAM)
         try:
             is_whole = await self._relay_parts(exchange, connection, parser, reservation)
@@ -80,9 +81,12 @@
             read_size = self._memory.read_size
             if not parser.has_sized_body:
                 read_size = min(read_size, MEDIUM_READ_BYTES)
-            reservation.resize(READS_HELD_PER_STREAM * read_size)
-            if part := parser.take_body():
-                await exchange.add_stream_part(part)
+            part = parser.take_body()
+            reservation.resize(READS_HELD_PER_STREAM * read_size + len(part))
+            # The first part may be larger than a read; whoever writes a piece holds it more than once.
+            for start in range(0, len(part), read_size):
+                await exchange.add_stream_part(part[start : start + read_size])
+            del part
             if parser.complete or exchange.stream_broken:
                 return parser.complete
             async with asyncio.timeout(STREAM_READ_TIMEOUT_S):
--- a/larkcrank/routing/responses.py
+++ b/larkcrank/routing/responses.py
@@ -91,10 +91,18 @@
         is_long = (parser.head.content_length or 0) > http1.MAX_BUFFERED_BODY_BYTES
         if not attempt.is_on_reused_connection or parser.head.status != 200 or is_long:
             return
-        while not parser.complete and parser.buffered_bytes <= http1.MAX_BUFFERED_BODY_BYTES:
+        while not parser.complete and not self.is_too_long_to_hold(parser):
             if not await self.read_more(attempt, connection, parser):
                 return
 
+    def is_too_long_to_hold(self, parser: http1.ResponseParser) -> bool:
+        """Return whether more of a response has come than is held before it is passed on. A response that is
+        known to be short is held whole.
+        """
+        is_length_known = parser.head is not None and parser.head.content_length is not None
+        limit = http1.MAX_BUFFERED_BODY_BYTES if is_length_known else self._memory.answer_allowance
+        return parser.buffered_bytes > limit
+
     async def read_more(self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser) -> bool:
         """Read and parse what has come of a response, and count the memory that it takes.
 
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -400,7 +400,7 @@
             if not await self._checker.read_more(attempt, connection, parser):
                 is_long = True
                 break
-            is_long = parser.buffered_bytes > http1.MAX_BUFFERED_BODY_BYTES
+            is_long = self._checker.is_too_long_to_hold(parser)
         if attempt.ended:
             return
         if result is Result.OK and (exchange.streaming or not parser.complete):
--- a/larkcrank/transport/memory.py
+++ b/larkcrank/transport/memory.py
@@ -18,10 +18,14 @@
 # For what the account does not see: a share of the limit, but at least so many bytes.
 RESERVED_SHARE = 0.125
 MIN_RESERVED_BYTES = 6 << 20
+# Memory shared with other programs counts if what the program leaves of the limit is so many times as much.
+MIN_SHARED_FACTOR = 3.0
 MIN_CAPACITY_SHARE = 0.0625  # of the limit, where the program itself takes nearly all
 # An upload may hold this share of what is left until memory gets scarce, within these bounds.
 UPLOAD_SHARE = 0.125
 MIN_UPLOAD_BYTES, MAX_UPLOAD_BYTES = 64 * 1024, 4 << 20
+# So much of an answer is held, while memory is plentiful or scarce, before it is passed on as it comes.
+MAX_ANSWER_BYTES, MIN_ANSWER_BYTES = 64 * 1024, 8 * 1024
 # If peers hold less than this share of the capacity, refusing requests would not help.
 MIN_HELD_SHARE = 0.1
 
@@ -37,6 +41,9 @@
     REQUEST_ID = "request ids"
 
 
+_LASTING_USES = (MemoryUse.CONNECTION, MemoryUse.REQUEST_ID)  # longer than a message
+
+
 class Pressure(IntEnum):
     """How scarce memory is."""
 
@@ -67,19 +74,19 @@
     def __init__(self, limit_bytes: float) -> None:
         self._limit_bytes = limit_bytes
         self._other_processes = 0
-        self._program_bytes = 0  # what the process uses without any peer
-        self._shared_bytes = 0  # memory shared with other programs that counts as used, such as code
-        self._observed_bytes = 0  # what the process used at the last look
+        self._program_bytes = 0  # private memory of the process without any peer
+        self._shared_bytes = 0  # memory that it shares with other programs, such as code
+        self._observed_bytes = 0  # its private memory at the last look
         self._held = dict.fromkeys(MemoryUse, 0)
         self._total_bytes = 0
-        self.held_bytes = 0  # without the connections themselves
+        self.held_bytes = 0  # of messages, without what lasts
         self.peak_held_bytes = 0
 
     def reserve(self, byte_count: int, use: MemoryUse) -> None:
         """Count bytes that the process now holds. This never fails or waits."""
         self._held[use] += byte_count
         self._total_bytes += byte_count
-        if use is not MemoryUse.CONNECTION:
+        if use not in _LASTING_USES:
             self.held_bytes += byte_count
             self.peak_held_bytes = max(self.peak_held_bytes, self.held_bytes)
 
@@ -88,19 +95,13 @@
         self.reserve(-byte_count, use)
 
     def set_program_bytes(self, private_bytes: int, shared_bytes: int) -> None:
-        """Set what the process uses before any peer has come.
-
-        Shared memory counts too, unless the limit would then leave peers less than without it by half.
-        """
+        """Set what the process uses before any peer has come."""
         self._program_bytes = private_bytes
-        self._shared_bytes = 0
-        if self.capacity_bytes > 2 * shared_bytes:
-            self._program_bytes += shared_bytes
-            self._shared_bytes = shared_bytes
+        self._shared_bytes = shared_bytes
 
     def observe(self, private_bytes: int) -> None:
         """Take note of the private memory of the process, as the operating system counts it."""
-        self._observed_bytes = private_bytes + self._shared_bytes
+        self._observed_bytes = private_bytes
 
     def set_other_processes(self, count: int) -> None:
         """Divide the limit among this process and `count` other live processes of the same sidecar."""
@@ -124,8 +125,15 @@
         """What this process may hold for peers."""
         reserved_bytes = max(self._limit_part * RESERVED_SHARE, MIN_RESERVED_BYTES)
         available_bytes = self._limit_part - reserved_bytes - self._program_bytes
+        if self._counts_shared_memory:
+            available_bytes -= self._shared_bytes
         return max(available_bytes, self._limit_part * MIN_CAPACITY_SHARE)
 
+    @property
+    def _counts_shared_memory(self) -> bool:
+        """Whether shared memory counts against the limit: where the limit leaves room for it."""
+        return self._limit_part - self._program_bytes > MIN_SHARED_FACTOR * self._shared_bytes
+
     @property
     def pressure(self) -> Pressure:
         """How scarce memory is now."""
@@ -140,7 +148,8 @@
 
     def _observed_pressure(self) -> Pressure:
         """Return the pressure by what the process was seen to use."""
-        used_share = self._observed_bytes / self._limit_part
+        shared_bytes = self._shared_bytes if self._counts_shared_memory else 0
+        used_share = (self._observed_bytes + shared_bytes) / self._limit_part
         observed = next(
             (pressure for pressure, share in _OBSERVED_SHARES.items() if used_share >= share), Pressure.NONE
         )
@@ -163,6 +172,11 @@
         read_bytes = self.capacity_bytes / SIMULTANEOUS_READS
         return next((size for size in sizes if size <= read_bytes), SMALL_READ_BYTES)
 
+    @property
+    def answer_allowance(self) -> int:
+        """How much of an answer is held before it is passed on as it comes."""
+        return MAX_ANSWER_BYTES if self.pressure is Pressure.NONE else MIN_ANSWER_BYTES
+
     @property
     def upload_allowance(self) -> int:
         """How much of one body may wait for its endpoint to read it."""
