--- a/larkcrank/protocol/http1.py
+++ b/larkcrank/protocol/http1.py
@@ -6,44 +6,32 @@
 
 import re
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
+
+from larkcrank.protocol.body import BodyDecoder
+from larkcrank.protocol.messages import HOP_BY_HOP as HOP_BY_HOP
+from larkcrank.protocol.messages import MAX_HEAD_BYTES as MAX_HEAD_BYTES
+from larkcrank.protocol.messages import Field as Field
+from larkcrank.protocol.messages import Fields as Fields
+from larkcrank.protocol.messages import MessageError as MessageError
+from larkcrank.protocol.messages import Request as Request
+from larkcrank.protocol.messages import Response as Response
+from larkcrank.protocol.messages import ResponseHead as ResponseHead
 
-MAX_HEAD_BYTES = 16 * 1024
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # a longer body is forwarded in parts as it arrives
 MAX_BODY_BYTES = 40 << 20
 MAX_FIELDS = 100  # in one head
 # What a body takes while it is buffered, as a multiple of its size: it grows in place and is copied at last.
 BODY_COPIES = 3
-FIELD_BYTES = 200  # objects of one parsed field, without its text
-_MAX_CHUNK_LINE_BYTES = 256
 
 _TOKEN_PATTERN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _TARGET_PATTERN = re.compile(rb"[!-~]+")
 _REQUEST_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([!-~]+) HTTP/(\d)\.(\d)")
 _STATUS_LINE = re.compile(rb"HTTP/(\d)\.(\d) (\d{3})(?: ([\t -~\x80-\xff]*))?")
 _CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
-_CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[\t -~\x80-\xff]*)?")
-_PLAIN_CHUNK_START = re.compile(rb"([0-9A-Fa-f]{1,8})\r\n")
 _EMPTY_LINES = re.compile(rb"(?:\r\n)+")
 _CONTENT_LENGTH_PATTERN = re.compile(rb"\d{1,15}")
 
-# These headers concern one connection only, so they are not forwarded. The framing is written anew.
-HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
-
 REASON_PHRASES = {
     100: b"Continue",
     200: b"OK",
@@ -64,110 +52,6 @@
 }
 
 
-class MessageError(Exception):
-    """The message is invalid and must not be forwarded. `status` is the status of the error response."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-
-
-@dataclass(slots=True, frozen=True)
-class Field:
-    """One header field."""
-
-    name: bytes  # in lower case
-    value: bytes
-    raw_line: bytes  # as received
-
-
-class Fields(tuple[Field, ...]):
-    """The header fields of one message in their original order."""
-
-    __slots__ = ()
-
-    @property
-    def held_bytes(self) -> int:
-        """About how much memory the fields take."""
-        return FIELD_BYTES * len(self) + 2 * sum([len(field.raw_line) for field in self])
-
-    def get_all(self, name: bytes) -> list[bytes]:
-        """Return the values of all fields with this name, which must be in lower case."""
-        return [field.value for field in self if field.name == name]
-
-    def get_single(self, name: bytes) -> bytes | None:
-        """Return the value of a field, or None if it is absent.
-
-        A repeated field is ambiguous, so it raises `MessageError`.
-        """
-        values = self.get_all(name)
-        if len(values) > 1:
-            raise MessageError(400, f"header {name.decode('latin-1')} stands {len(values)} times")
-        return values[0] if values else None
-
-    def get_list(self, name: bytes) -> list[bytes]:
-        """Return the members of a comma-separated field in lower case."""
-        members = (part.strip(b" \t").lower() for value in self.get_all(name) for part in value.split(b","))
-        return [member for member in members if member]
-
-    def forwarded_lines(self, excluded: frozenset[bytes] = frozenset()) -> Iterable[bytes]:
-        """Return the header lines to forward to the next hop, unchanged."""
-        connection_options = set(self.get_list(b"connection"))
-        return [
-            field.raw_line
-            for field in self
-            if field.name not in HOP_BY_HOP
-            and field.name not in connection_options
-            and field.name not in excluded
-        ]
-
-
-_NO_FIELDS = Fields()
-
-
-@dataclass(slots=True)
-class Request:
-    """A request whose body may still be arriving."""
-
-    method: bytes
-    target: bytes
-    fields: Fields
-    body: bytes  # only its beginning, unless the request is complete
-    keep_alive: bool
-    content_length: int | None = 0  # as announced in the head; None if the body is chunked
-    is_complete: bool = True  # if false, `RequestParser.take_part` returns the rest of the body
-    is_http10: bool = False  # whether the client uses HTTP/1.0, which has no chunked bodies
-
-    @property
-    def held_bytes(self) -> int:
-        """About how much memory the request takes."""
-        return len(self.body) + self.fields.held_bytes
-
-    def release(self) -> None:
-        """Drop the body and the header, which are not needed once nothing more is sent for the request."""
-        self.body, self.fields = b"", _NO_FIELDS
-
-
-@dataclass(slots=True, frozen=True)
-class ResponseHead:
-    """The status and header of a response, before its body has arrived."""
-
-    status: int
-    fields: Fields
-    keep_alive: bool
-    content_length: int | None = 0  # None if the length is known only at the end of the body
-
-
-@dataclass(slots=True, frozen=True)
-class Response:
-    """A response whose body is complete."""
-
-    status: int
-    fields: Fields
-    body: bytes
-    keep_alive: bool
-
-
 def _parse_fields(lines: list[bytes]) -> Fields:
     fields = []
     for line in lines:
@@ -188,128 +72,6 @@
     return b"close" not in options and (minor != b"0" or b"keep-alive" in options)
 
 
-class _BodyDecoder:
-    """Decodes a body from a buffer according to its framing.
-
-    A body that is longer than `limit` raises `MessageError` with the status `too_large_status`.
-    """
-
-    __slots__ = (
-        "_bytes_allowed",
-        "_bytes_left",
-        "_chunked",
-        "_state",
-        "_too_large_status",
-        "_trailer_bytes",
-        "done",
-        "until_close",
-    )
-
-    def __init__(
-        self, length: int | None, limit: float, too_large_status: int, until_close: bool = False
-    ) -> None:
-        if length is not None and length > limit:
-            raise MessageError(too_large_status, "body too large")
-        self._bytes_allowed, self._too_large_status = limit, too_large_status
-        self._chunked = length is None
-        self._bytes_left = length or 0  # in the body, or in the current chunk
-        self._state = "size"  # the part of a chunked body that comes next: size, data, end or trailer
-        self._trailer_bytes = 0
-        self.until_close = until_close  # whether the end of the connection marks the end of the body
-        self.done = length == 0  # whether the whole body was decoded
-
-    @property
-    def bytes_left(self) -> int:
-        """How much of the body, or of the current chunk, has not been decoded."""
-        return self._bytes_left
-
-    @property
-    def is_chunked(self) -> bool:
-        """Whether the body has the chunked coding."""
-        return self._chunked
-
-    def decode(self, buffer: bytearray, body: bytearray) -> None:
-        """Move the bytes of the body from `buffer` to `body`, without the chunk framing."""
-        if self.until_close:
-            self._bytes_allowed -= len(buffer)
-            if self._bytes_allowed < 0:
-                raise MessageError(self._too_large_status, "body too large")
-            body += buffer
-            buffer.clear()
-        elif not self._chunked:
-            self._move_data(buffer, body)
-            self.done = not self._bytes_left
-        else:
-            self._decode_whole_chunks(buffer, body)
-            while not self.done and self._decode_chunked_step(buffer, body):
-                self._decode_whole_chunks(buffer, body)
-
-    def _move_data(self, buffer: bytearray, body: bytearray) -> None:
-        count = min(self._bytes_left, len(buffer))
-        body += buffer[:count]
-        del buffer[:count]
-        self._bytes_left -= count
-
-    def _decode_whole_chunks(self, buffer: bytearray, body: bytearray) -> None:
-        """Decode plain chunks that have arrived whole, of which there may be thousands.
-
-        All others, and whatever is wrong, are left to `_decode_chunked_step`.
-        """
-        if self._state != "size":
-            return
-        position, bytes_allowed = 0, self._bytes_allowed
-        while (match := _PLAIN_CHUNK_START.match(buffer, position)) is not None:
-            size = int(match[1], 16)
-            start = match.end()
-            end = start + size
-            if not 0 < size <= bytes_allowed or buffer[end : end + 2] != b"\r\n":
-                break
-            body += buffer[start:end]
-            bytes_allowed -= size
-            position = end + 2
-        self._bytes_allowed = bytes_allowed
-        if position:
-            del buffer[:position]
-
-    def _decode_chunked_step(self, buffer: bytearray, body: bytearray) -> bool:
-        """Decode the next data or the next framing line of a chunked body. Returns False if more bytes are
-        needed.
-        """
-        if self._state == "data":
-            self._move_data(buffer, body)
-            if self._bytes_left:
-                return False
-            self._state = "end"
-            return True
-        end = buffer.find(b"\r\n")
-        if end > _MAX_CHUNK_LINE_BYTES or (end < 0 and len(buffer) > _MAX_CHUNK_LINE_BYTES + 1):
-            raise MessageError(400, "overlong line in a chunked body")
-        if end < 0:
-            return False
-        line = bytes(buffer[:end])
-        del buffer[: end + 2]
-        if self._state == "size":
-            match = _CHUNK_SIZE_LINE.fullmatch(line)
-            if match is None:
-                raise MessageError(400, "malformed chunk size")
-            self._bytes_left = int(match[1], 16)
-            self._bytes_allowed -= self._bytes_left
-            if self._bytes_allowed < 0:
-                raise MessageError(self._too_large_status, "body too large")
-            self._state = "data" if self._bytes_left else "trailer"
-        elif self._state == "end":
-            if line:
-                raise MessageError(400, "chunk longer than its size")
-            self._state = "size"
-        elif line:  # trailers are ignored
-            self._trailer_bytes += len(line)
-            if self._trailer_bytes > MAX_HEAD_BYTES:
-                raise MessageError(431, "trailers too large")
-        else:
-            self.done = True
-        return True
-
-
 def _take_head_lines(buffer: bytearray) -> list[bytes] | None:
     """Remove the head from the buffer and return its lines, or None as long as it is incomplete."""
     end = buffer.find(b"\r\n\r\n")
@@ -353,7 +115,7 @@
         self._max_body_bytes = max_body_bytes
         self._buffer = bytearray()
         self._head: Request | None = None
-        self._body_decoder = _BodyDecoder(0, 0, 0)
+        self._body_decoder = BodyDecoder(0, 0, 0)
         self._body = bytearray()
         self.expects_continue = False  # whether the client waits for 100 Continue before it sends the body
         # Whether the last request was returned before the end of its body; `take_part` returns the rest.
@@ -460,7 +222,7 @@
         if is_http10 and fields.get_all(b"transfer-encoding"):
             raise MessageError(400, "chunks in HTTP/1.0")
         content_length = None if _is_chunked(fields) else _content_length(fields) or 0
-        self._body_decoder = _BodyDecoder(content_length, self._max_body_bytes, 413)
+        self._body_decoder = BodyDecoder(content_length, self._max_body_bytes, 413)
         expectations = fields.get_list(b"expect")
         if expectations not in ([], [b"100-continue"]):
             raise MessageError(417, "unknown expectation")
@@ -478,7 +240,7 @@
     def __init__(self, max_body_bytes: float = MAX_BODY_BYTES) -> None:
         self._max_body_bytes = max_body_bytes
         self._buffer = bytearray()
-        self._body_decoder = _BodyDecoder(0, 0, 0)
+        self._body_decoder = BodyDecoder(0, 0, 0)
         self._body = bytearray()
         self.head: ResponseHead | None = None
 
@@ -558,7 +320,7 @@
         else:
             content_length = None if _is_chunked(fields) else _content_length(fields)
         until_close = content_length is None and not _is_chunked(fields)
-        self._body_decoder = _BodyDecoder(content_length, self._max_body_bytes, 502, until_close)
+        self._body_decoder = BodyDecoder(content_length, self._max_body_bytes, 502, until_close)
         self.head = ResponseHead(status, fields, keep_alive and not until_close, content_length)
 
 
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -16,12 +16,12 @@
 from larkcrank.routing.request_check import RequestCheck
 from larkcrank.routing.request_ids import RequestIds
 from larkcrank.routing.sessions import ClientSession
+from larkcrank.routing.upload_receiver import PauseCounters, UploadHandler, UploadReceiver, read_size_for
 from larkcrank.transport.closewatch import CloseWatcher
-from larkcrank.transport.closing import ClientCloseReason, PauseReason
+from larkcrank.transport.closing import ClientCloseReason
 from larkcrank.transport.connection import Connection, ConnectionLostError
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
 from larkcrank.transport.memory import (
-    MEDIUM_READ_BYTES,
     REQUEST_BYTES,
     SMALL_READ_BYTES,
     MemoryAccount,
@@ -49,11 +49,6 @@
 LINGER_TIMEOUT_S = 0.3
 MAX_LINGER_BYTES = 1 << 20
 SWEEP_INTERVAL_S = 0.2
-# While reading is paused, so often it is checked whether the client has sent everything.
-ARRIVAL_CHECK_INTERVAL_S = 0.05
-MAX_PEEKED_BYTES = 64 * 1024
-# A read that waits for longer waits for the client, not for what it had sent before on its way.
-CLIENT_WAIT_S = 0.05
 RETRY_AFTER_MS = 500.0  # told to clients whose requests do not fit into memory
 
 
@@ -77,17 +72,15 @@
     """The client has not read any of its response for too long."""
 
 
-class RequestHandler(Protocol):
+class RequestHandler(UploadHandler, Protocol):
     """The interface to which the client side passes requests."""
 
     def is_full(self) -> bool: ...
     def next_request_id(self) -> int: ...
     def start_request(self, exchange: Exchange) -> None: ...
-    def complete_upload(self, exchange: Exchange) -> None: ...
-    def handle_client_gone(self, exchange: Exchange) -> None: ...
 
 
-class ClientCounters(Protocol):
+class ClientCounters(PauseCounters, Protocol):
     """Counters that the client side increments."""
 
     connections: int
@@ -98,8 +91,6 @@
 
     def close_client(self, reason: ClientCloseReason) -> None: ...
 
-    def pause(self, reason: PauseReason) -> None: ...
-
 
 class ClientConnections:
     """Serves the application's connections, handling one request at a time on each."""
@@ -138,6 +129,14 @@
         # `TimeoutError` if that process does not answer.
         self.claim_id: Callable[[str], Awaitable[bool]] | None = None
         self._close_watch = CloseWatcher()
+        self._upload_receiver = UploadReceiver(
+            request_handler,
+            memory,
+            arrival_time,
+            lambda: lifecycle.latest_deadline,
+            self._close_watch,
+            counters,
+        )
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._descriptors = descriptors
         self._memory = memory
@@ -333,16 +332,9 @@
         if byte_count > SMALL_READ_BYTES and not self._memory.admits(0, has_body=True):
             raise _RefusedError(RefusalReason.MEMORY)
 
-    def _read_size(self, session: ClientSession) -> int:
-        """Return how much to read at once. A head is short; chunks take long to parse for their size."""
-        if not session.parser.has_body_ahead:
-            return SMALL_READ_BYTES
-        read_size = self._memory.read_size
-        return read_size if session.parser.has_sized_body else min(read_size, MEDIUM_READ_BYTES)
-
     async def _read_some(self, session: ClientSession) -> None:
         had_head = session.parser.awaits_body
-        data = await session.connection.read(self._read_size(session))
+        data = await session.connection.read(read_size_for(session.parser, self._memory))
         session.parser.feed(data)
         session.data_arrived_at = self._arrival_time()
         if had_head:  # The data read belongs to the body.
@@ -420,7 +412,9 @@
         """
         session.uploading_exchange, session.paused_ms = exchange, 0.0
         session.mark_progress()
-        upload_task = asyncio.get_running_loop().create_task(self._read_upload(session, exchange, upload))
+        upload_task = asyncio.get_running_loop().create_task(
+            self._upload_receiver.receive(session, exchange, upload)
+        )
         try:
             self._request_handler.start_request(exchange)
             response_future = exchange.response_future()
@@ -443,59 +437,6 @@
             # If the upload task is still running, it ends when the connection closes.
             upload_task.add_done_callback(_consume_exception)
 
-    async def _read_upload(self, session: ClientSession, exchange: Exchange, upload: Upload) -> None:
-        """Read the body of an upload. The deadline of the request counts from the body's last byte."""
-        parser = session.parser
-        try:
-            if parser.expects_continue:
-                await session.connection.write(http1.CONTINUE_RESPONSE)
-            while parser.is_streaming:
-                await self._read_upload_part(session, upload)
-                if parser.is_streaming and upload.is_full:
-                    with self._watch_for_close(session, exchange):
-                        await self._pause_reading(session, exchange, upload)
-            session.uploading_exchange = None
-            upload.finish(complete=True)
-            self._handle_last_byte(exchange, session.data_arrived_at - session.paused_ms)
-        except (ConnectionLostError, http1.MessageError):
-            upload.finish(complete=False)
-            raise
-
-    async def _read_upload_part(self, session: ClientSession, upload: Upload) -> None:
-        loop, parser, read_size = asyncio.get_running_loop(), session.parser, self._read_size(session)
-        started_at = loop.time()
-        must_wait = not session.connection.start_read(read_size).done()
-        data = await session.connection.read(read_size)
-        if must_wait and loop.time() - started_at > CLIENT_WAIT_S:
-            session.paused_ms = 0.0  # The client did not have the next part ready: the pauses cost nothing.
-        parser.feed(data)
-        body_part = parser.take_part()
-        session.data_arrived_at = self._arrival_time()
-        upload.append(body_part)
-        session.count_body_bytes(len(data))
-
-    async def _pause_reading(self, session: ClientSession, exchange: Exchange, upload: Upload) -> None:
-        """Read nothing until the endpoint has taken what came before. The client's time runs on if it has
-        sent everything.
-        """
-        started_at = asyncio.get_running_loop().time()
-        session.reading_paused = True
-        is_memory_scarce = self._memory.pressure >= Pressure.HIGH
-        self._counters.pause(PauseReason.MEMORY if is_memory_scarce else PauseReason.SLOW_ENDPOINT)
-        while upload.is_full:
-            if _has_sent_everything(session):
-                self._handle_last_byte(exchange, self._arrival_time() - session.paused_ms)
-            await upload.wait_for_room(ARRIVAL_CHECK_INTERVAL_S)
-        session.record_pause(asyncio.get_running_loop().time() - started_at)
-
-    def _handle_last_byte(self, exchange: Exchange, arrived_at: float) -> None:
-        """Start the time of a request whose client has sent the last byte. Later calls have no effect."""
-        if exchange.deadline < math.inf:
-            return
-        exchange.arrived_at = arrived_at
-        exchange.deadline = min(arrived_at + exchange.client_timeout_ms, self._lifecycle.latest_deadline)
-        self._request_handler.complete_upload(exchange)
-
     def _watch_for_close(self, session: ClientSession, exchange: Exchange) -> AbstractContextManager[None]:
         """Watch for the client disconnecting. While nothing is read from it, only polling the socket can
         tell.
@@ -674,18 +615,6 @@
     return max(times_ms, default=0.0) / 1000.0
 
 
-def _has_sent_everything(session: ClientSession) -> bool:
-    """Return whether the kernel has received the rest of the request's body."""
-    unread_bytes = session.connection.unread_bytes()
-    bytes_left = session.parser.body_bytes_left
-    if bytes_left is not None:
-        return unread_bytes >= bytes_left
-    # Whether chunks end here can only be guessed.
-    return 0 < unread_bytes <= MAX_PEEKED_BYTES and session.connection.peek(MAX_PEEKED_BYTES).endswith(
-        http1.LAST_CHUNK
-    )
-
-
 def _error_response(error: http1.MessageError) -> bytes:
     return http1.encode_response(error.status, (), str(error).encode(), close=True)
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -6,7 +6,7 @@
 import pytest
 
 from larkcrank.protocol import http1
-from larkcrank.routing import clients
+from larkcrank.routing import upload_receiver
 from larkcrank.routing.sessions import ClientSession
 from larkcrank.transport.connection import wrap_socket
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
@@ -128,9 +128,9 @@
         request = session.parser.next()
         assert request is not None and not request.is_complete
         theirs.sendall(rest[:-1])
-        assert not clients._has_sent_everything(session)
+        assert not upload_receiver.has_sent_everything(session)
         theirs.sendall(rest[-1:])
-        await b.until(lambda: clients._has_sent_everything(session))
+        await b.until(lambda: upload_receiver.has_sent_everything(session))
         connection.close()
         theirs.close()
         listener.close()
