The lab's stage measurement keeps the id of a request whose header is freed

test_real_sidecar_is_measured_by_stage failed since a request's header is freed at its answer: the wrapper of the response's writing read the id from it. It keeps the id from the parse now; the check is unchanged.

--- a/larkcrank/lab/scale/stamped.py
+++ b/larkcrank/lab/scale/stamped.py
@@ -38,6 +38,7 @@
 _stamps: StampsByRequest = {}
 _schedstat_fd = os.open("/proc/self/schedstat", os.O_RDONLY)
 _last_fed: dict[str, Stamp] = {}  # when the request parser and the response parser last received bytes
+_ids_in_hand: dict[int, str] = {}  # of requests that were not answered, by the identity of their objects
 
 
 def _read_clocks() -> Stamp:
@@ -85,6 +86,7 @@
 
     def record_parsed(request: http1.Request | None, *_: object) -> None:
         if request is not None:
+            _ids_in_hand[id(request)] = request_id(request)
             _record(request_id(request), "read", _last_fed["request"])
             _record(request_id(request), "parsed")
 
@@ -111,10 +113,11 @@
     async def write_response_recorded(
         clients: Any, connection: Any, request: http1.Request, *rest: Any
     ) -> bool:
-        _record(request_id(request), "replying")
+        name = _ids_in_hand.pop(id(request), "")  # its header is freed once it is answered
+        _record(name, "replying")
         keeps_connection: bool = await write_response(clients, connection, request, *rest)
-        _record(request_id(request), "replied")
-        _record(request_id(request), QUEUE_WAIT, (int(os.pread(_schedstat_fd, 64, 0).split()[1]) / 1e9, 0.0))
+        _record(name, "replied")
+        _record(name, QUEUE_WAIT, (int(os.pread(_schedstat_fd, 64, 0).split()[1]) / 1e9, 0.0))
         return keeps_connection
 
     setattr(ClientConnections, "_write_buffered_response", write_response_recorded)  # noqa: B010
