--- a/larkcrank/transport/turns.py
+++ b/larkcrank/transport/turns.py
@@ -44,8 +44,7 @@
 class TurnQueue:
     """The connections that have used up their allowance, in the order in which they go on."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._loop = loop
+    def __init__(self) -> None:
         self._waiting: deque[tuple[asyncio.Future[None], int]] = deque()
         self._spent_units = 0  # in this iteration of the loop
         self._is_renewal_scheduled = False
@@ -64,7 +63,7 @@
         if self.try_take_turn(units):
             return
         self.waits += 1
-        turn: asyncio.Future[None] = self._loop.create_future()
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting.append((turn, units))
         self._schedule_renewal()
         await turn
@@ -72,7 +71,7 @@
     def _schedule_renewal(self) -> None:
         if not self._is_renewal_scheduled:
             self._is_renewal_scheduled = True
-            self._loop.call_soon(self._renew)
+            asyncio.get_running_loop().call_soon(self._renew)
 
     def _renew(self) -> None:
         """Begin the next iteration's work: give turns to those who wait longest."""
@@ -94,5 +93,5 @@
     """Return the queue of an event loop."""
     queue = _queues.get(loop)
     if queue is None:
-        queue = _queues[loop] = TurnQueue(loop)
+        queue = _queues[loop] = TurnQueue()
     return queue
