--- a/tests/hostile_bed.py
+++ b/tests/hostile_bed.py
@@ -133,7 +133,7 @@
         log_path = self.folder / f"log-{len(self.processes)}"
         with log_path.open("wb") as log:
             process = subprocess.Popen(
-                command,
+                [sys.executable, "-m", "larkcrank"],
                 cwd=ROOT,
                 env=environment,
                 stderr=log,
