--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,7 +1,9 @@
 """Tests of the account of memory, and of what is refused when it is used up."""
 
 import asyncio
+import gc
 import socket
+import weakref
 
 import pytest
 
@@ -136,3 +138,21 @@
         listener.close()
 
     b.run(work())
+
+
+def test_a_closed_connection_is_freed_without_a_garbage_collection() -> None:
+    async def work() -> None:
+        async with b.bed(b.Endpoint("s-1")) as bed:
+            sessions = bed.sidecar.clients._sessions
+            client = await bed.client()
+            await b.until(lambda: len(sessions) == 1)
+            connection = weakref.ref(next(iter(sessions)))
+            gc.disable()
+            try:
+                client.close()
+                await b.until(lambda: not sessions)
+                await b.until(lambda: connection() is None)
+            finally:
+                gc.enable()
+
+    b.run(work())
