--- a/tests/hostile_endpoints.py
+++ b/tests/hostile_endpoints.py
@@ -7,6 +7,7 @@
 import contextlib
 import json
 import socket
+import struct
 import time
 from dataclasses import dataclass
 from multiprocessing.connection import Connection as Pipe
@@ -17,6 +18,7 @@
 READ_BYTES = 64 * 1024
 SOCKET_BUFFER_BYTES = 64 * 1024  # keeps the kernel from hiding what the sidecar has to hold
 LIST_WAIT_S = 30.0
+SILENCE_S = 60.0  # longer than any play waits for an answer
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 Reader = asyncio.StreamReader
@@ -35,6 +37,10 @@
     read_rate: float = 0.0  # bytes of the request's body a second; 0: as fast as they come
     head_fields: int = 0  # further empty fields in the head of the answer
     stop_after: int = 0  # lumps after which the endpoint ends the connection; 0: never
+    read_limit: int = 0  # bytes of the request's body after which no more is read; 0: never
+    is_silent: bool = False  # whether the endpoint never answers, and keeps the connection open
+    reset_after: int = 0  # bytes of the answer's body after which the connection is reset; 0: never
+    declines: bool = False  # whether it answers 503 and closes the connection
 
     @classmethod
     def parse(cls, target: str) -> "Behavior":
@@ -92,17 +98,32 @@
             name.lower(): value.strip() for name, _, value in (line.partition(":") for line in header_lines)
         }
         behavior = Behavior.parse(request_line.split()[1])
-        await _read_body(reader, header, behavior.read_rate)
+        is_whole = await self._read_body(reader, header, behavior)
+        if behavior.is_silent:
+            await asyncio.sleep(SILENCE_S)
+            return False
         complete_at = time.monotonic()
         await asyncio.sleep(behavior.delay)
         try:
-            return await self._write_answer(writer, header["req-id"], behavior)
+            return await self._write_answer(writer, header["req-id"], behavior) and is_whole
         finally:
-            self._runs.append(
-                Run(header["req-id"], self.name, began_at, complete_at, ended_at=time.monotonic())
-            )
+            if is_whole:
+                self._runs.append(
+                    Run(header["req-id"], self.name, began_at, complete_at, ended_at=time.monotonic())
+                )
+
+    async def _read_body(self, reader: Reader, header: dict[str, str], behavior: Behavior) -> bool:
+        """Read the request's body, and return whether that was done to its end."""
+        if behavior.read_limit:
+            await _read_exactly(reader, behavior.read_limit, behavior.read_rate)
+            return False
+        await _read_body(reader, header, behavior.read_rate)
+        return True
 
     async def _write_answer(self, writer: Writer, request_id: str, behavior: Behavior) -> bool:
+        if behavior.declines:
+            writer.write(b"HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
+            return False
         body = answer_body(request_id, behavior.size)
         framing = {"length": b"Content-Length: %d\r\n" % len(body), "chunked": CHUNKED, "close": b""}
         extra = b"".join(b"a%d:\r\n" % number for number in range(behavior.head_fields))
@@ -112,6 +133,10 @@
             if behavior.seconds:
                 await asyncio.sleep(behavior.seconds / behavior.lumps)
             lump = body[number * lump_bytes : (number + 1) * lump_bytes]
+            if 0 < behavior.reset_after < (number + 1) * lump_bytes:
+                writer.write(lump[: max(behavior.reset_after - number * lump_bytes, 0)])
+                _reset(writer)
+                return False
             writer.write(b"%x\r\n%s\r\n" % (len(lump), lump) if behavior.framing == "chunked" else lump)
             await writer.drain()
             if number + 1 == behavior.stop_after:
@@ -128,6 +153,13 @@
     return (text * (size // len(text) + 1))[:size]
 
 
+def _reset(writer: Writer) -> None:
+    """Reset the connection once the system has sent what was written."""
+    sock: socket.socket = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 async def _read_body(reader: Reader, header: dict[str, str], rate: float) -> None:
     if "transfer-encoding" in header:
         while (size := int((await reader.readline()).split(b";")[0], 16)) > 0:
