An end of a connection is an end only where the peer's FIN was read

Cause: an orderly end was inferred from the absence of an error, and `Connection.start_read` dropped the error of a stream that had closed by a failed write (the request's body, still queued) while no read was pending. Linux reports the error of a broken connection once; a read after that returns 0 bytes like a FIN, so a peek, a look at an idle connection or SO_ERROR did the same.

Now `SocketStream` sets `fin_was_read` in one place, where a read returns 0 bytes on a socket of which no call has taken an error. All calls that may take one are in that class. EPIPE as the first error means that the FIN had come before.

--- a/larkcrank/routing/relay.py
+++ b/larkcrank/routing/relay.py
@@ -58,7 +58,7 @@
                 attempt.end(Result.CANCELLED)
                 return
         except ConnectionLostError as error:
-            is_whole = error.is_clean_close and parser.handle_clean_close()
+            is_whole = error.fin_was_read and parser.handle_clean_close()
         except (TimeoutError, http1.MessageError):
             is_whole = False
         finally:
--- a/larkcrank/routing/responses.py
+++ b/larkcrank/routing/responses.py
@@ -115,7 +115,7 @@
         try:
             parser.feed(await connection.read(read_size))
         except ConnectionLostError as error:
-            if not error.is_clean_close or not parser.handle_clean_close():
+            if not error.fin_was_read or not parser.handle_clean_close():
                 raise
         # The body is copied when it is complete.
         attempt.count_response_memory(2 * parser.buffered_bytes)
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -10,11 +10,12 @@
 from collections.abc import Callable
 from enum import Enum
 
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
 from larkcrank.transport.answers import AnswerHistory, UnprovenTime
 from larkcrank.transport.closing import CloseReason
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
+from larkcrank.transport.stream import SocketStream
 from larkcrank.transport.turns import OPERATION_UNITS, WorkAllowance, turn_queue_of
 
 READ_CHUNK_BYTES = 16 * 1024
@@ -22,8 +23,6 @@
 DISCARDED_BYTES_PER_UNIT = 8  # nothing is parsed of them
 # After so many reads in a row that did not have to wait, other tasks run first.
 MAX_READY_READS = 2
-# The flags are combined once, because combining the enum members costs more than the system call.
-_PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 # Linux reports a socket as writable once a third of its send buffer is free. A buffer that grows to megabytes
 # would make a slow reader look like one that has stopped. Clients are on the same machine, endpoints are not.
 _SEND_BUFFER_BYTES = {
@@ -46,21 +45,21 @@
 
 
 class ConnectionLostError(Exception):
-    """The connection has ended. `is_clean_close` tells an orderly close by the peer from a failure."""
+    """The connection has ended. `fin_was_read` tells an orderly end by the peer from all others."""
 
-    def __init__(self, reason: str, is_clean_close: bool = False) -> None:
+    def __init__(self, reason: str, fin_was_read: bool = False) -> None:
         super().__init__(reason)
-        self.is_clean_close = is_clean_close
+        self.fin_was_read = fin_was_read
 
 
 class Connection:
-    """An IOStream with at most one pending read, which may stay pending while no caller awaits it.
+    """A stream with at most one pending read, which may stay pending while no caller awaits it.
 
-    IOStream notices that the peer has closed only while a read is pending. An idle connection therefore
+    A stream notices that the peer has closed only while a read is pending. An idle connection therefore
     keeps one pending; its result is the first bytes of the next message.
     """
 
-    def __init__(self, stream: IOStream, descriptors: DescriptorBudget, use: SocketUse) -> None:
+    def __init__(self, stream: SocketStream, descriptors: DescriptorBudget, use: SocketUse) -> None:
         self.stream = stream
         self._use = use
         self._descriptors = descriptors
@@ -91,7 +90,7 @@
                 self._pending_read = asyncio.ensure_future(self.stream.read_bytes(max_bytes, partial=True))
             except OSError as error:
                 # A StreamClosedError, or the error itself if IOStream does not count it as a reset.
-                cause = None if isinstance(error, StreamClosedError) else error
+                cause = error.real_error if isinstance(error, StreamClosedError) else error
                 self._pending_read = asyncio.get_running_loop().create_future()
                 self._pending_read.set_exception(StreamClosedError(cause))
             self._pending_read.add_done_callback(_retrieve_exception)
@@ -118,8 +117,8 @@
         except StreamClosedError as error:
             self._pending_read = None
             del pending  # its exception refers to this frame: a cycle would keep the connection's memory
-            is_clean_close = error.real_error is None and not self._closed
-            raise ConnectionLostError(str(error.real_error or "closed"), is_clean_close) from None
+            fin_was_read = self.stream.fin_was_read and not self._closed
+            raise ConnectionLostError(str(error.real_error or "closed"), fin_was_read) from None
         # If the caller is cancelled, `_pending_read` keeps the cancelled read, because the stream can't start
         # another one. (asyncio.shield would avoid that, at the cost of one more loop iteration per read.)
         self._pending_read = None
@@ -143,7 +142,10 @@
         await self._turns.take_turn(units)
 
     async def write(self, data: bytes) -> None:
-        """Return when the kernel has accepted all bytes. Raises `ConnectionLostError` if it can't."""
+        """Return when the kernel has accepted all bytes.
+
+        Raises `ConnectionLostError` if it can't.
+        """
         try:
             await self.stream.write(data)
         except StreamClosedError as error:
@@ -187,7 +189,7 @@
         if self.closed:
             return IdleInput.END
         try:
-            return IdleInput.DATA if self.stream.socket.recv(1, _PEEK_FLAGS) else IdleInput.END
+            return IdleInput.DATA if self.stream.peek(1) else IdleInput.END
         except (BlockingIOError, InterruptedError):
             return IdleInput.NONE
         except OSError:
@@ -208,7 +210,7 @@
     def peek(self, max_bytes: int) -> bytes:
         """Return what the kernel has received that was not read, up to `max_bytes`, and leave it there."""
         try:
-            return self.stream.socket.recv(max_bytes, _PEEK_FLAGS)
+            return self.stream.peek(max_bytes)
         except (OSError, AttributeError):
             return b""
 
@@ -222,7 +224,7 @@
         if self.closed:
             return True
         try:
-            if not self.stream.socket.recv(1, _PEEK_FLAGS):
+            if not self.stream.peek(1):
                 return True
         except (BlockingIOError, InterruptedError):
             return False
@@ -274,7 +276,7 @@
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES[use])
-    return Connection(IOStream(sock, read_chunk_size=READ_CHUNK_BYTES), descriptors, use)
+    return Connection(SocketStream(sock, READ_CHUNK_BYTES), descriptors, use)
 
 
 class NoDescriptorError(Exception):
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -19,7 +19,6 @@
 import pytest
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
-from tornado.iostream import IOStream
 
 from larkcrank.core import interface as api
 from larkcrank.core.balancer import Balancer
@@ -27,6 +26,7 @@
 from larkcrank.transport.closewatch import CloseWatcher
 from larkcrank.transport.connection import Connection
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
+from larkcrank.transport.stream import SocketStream
 from tests import bed as b
 from tests import crossing as x
 from tests import frames as f
@@ -275,7 +275,7 @@
     The head of a request with a long body was once written one iteration after the check.
     """
     order: list[str] = []
-    has_peer_closed, write_to_fd = Connection.has_peer_closed, IOStream.write_to_fd
+    has_peer_closed, write_to_fd = Connection.has_peer_closed, SocketStream.write_to_fd
 
     def record_check(connection: Connection) -> bool:
         order.append("look")
@@ -289,13 +289,13 @@
             if pool:
                 await x.open_pooled_connection(bed, client)
 
-            def record_write(stream: IOStream, data: memoryview) -> int:
+            def record_write(stream: SocketStream, data: memoryview) -> int:
                 if stream.socket.getpeername()[1] == one.port:
                     order.append("bytes")
                 return write_to_fd(stream, data)
 
             monkeypatch.setattr(Connection, "has_peer_closed", record_check)
-            monkeypatch.setattr(IOStream, "write_to_fd", record_write)
+            monkeypatch.setattr(SocketStream, "write_to_fd", record_write)
             x.send_request(client, shape)
             await b.until(lambda: "bytes" in order)
             first = order.index("bytes")
@@ -330,7 +330,7 @@
     local_end, remote_end = socket.socketpair()
     local_end.setblocking(False)
     assert descriptors.acquire(SocketUse.CLIENT)
-    return Connection(IOStream(local_end), descriptors, SocketUse.CLIENT), remote_end
+    return Connection(SocketStream(local_end, 4096), descriptors, SocketUse.CLIENT), remote_end
 
 
 class CheckCounter:
