What an endpoint sent before a write to it failed is read

Cause: IOStream closes its socket when a write fails, with all that was received before, and the attempt was ended by the task that wrote.

Now a failed write is kept as `write_error`, later data is dropped and the stream stays open for reading. The task that writes leaves the end to the one that reads; 0.5 s bound a connection that only seemed broken. Errors of the body's source have a type of their own (`UploadEndedError`).

--- a/larkcrank/routing/exchange.py
+++ b/larkcrank/routing/exchange.py
@@ -11,7 +11,6 @@
 from larkcrank.core.interface import Effect, Result
 from larkcrank.protocol import http1
 from larkcrank.protocol.platform import CallInfo
-from larkcrank.transport.connection import ConnectionLostError
 from larkcrank.transport.memory import MemoryAccount, MemoryUse
 
 MAX_BUFFERED_STREAM_PARTS = 1  # Parts of a streamed response buffered for a slow client.
@@ -35,6 +34,10 @@
     content_length: int | None = None  # None if the endpoint did not announce it.
 
 
+class UploadEndedError(Exception):
+    """The rest of a body can't be read: it was cut short, is not needed, or another attempt reads it."""
+
+
 class Upload:
     """A long request body on its way from the client to an endpoint. The client side appends parts; an
     attempt consumes them.
@@ -117,7 +120,7 @@
     async def _read_part(self, reader: "UploadReader") -> bytes | None:
         while True:
             if reader is not self._reader:
-                raise ConnectionLostError("another attempt reads the request body")
+                raise UploadEndedError("another attempt reads the request body")
             index = reader.consumed_part_count - self._dropped_part_count
             if index < len(self._parts):
                 reader.consumed_part_count += 1
@@ -127,7 +130,7 @@
             if self.complete and not self.discarded:
                 return None
             if self.aborted or self.discarded:
-                raise ConnectionLostError("the request body was cut short")
+                raise UploadEndedError("the request body was cut short")
             self._changed.clear()
             await self._changed.wait()
 
@@ -156,7 +159,7 @@
     async def next_part(self) -> bytes | None:
         """Return the next part, or None at the end.
 
-        Raises `ConnectionLostError` if the body was cut short or another attempt has begun to read it.
+        Raises `UploadEndedError` if the body was cut short or another attempt has begun to read it.
         """
         return await self._upload._read_part(self)
 
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -10,7 +10,7 @@
 from larkcrank.protocol.discovery import ListUpdate
 from larkcrank.routing.attempt import Attempt
 from larkcrank.routing.connections import AttemptConnections, ConnectionCounters
-from larkcrank.routing.exchange import Exchange, Upload, UploadReader
+from larkcrank.routing.exchange import Exchange, Upload, UploadEndedError, UploadReader
 from larkcrank.routing.probes import ProbeCounters, Prober
 from larkcrank.routing.relay import StreamRelay
 from larkcrank.routing.responses import CheckCounters, ResponseChecker
@@ -30,6 +30,8 @@
 
 # An endpoint that takes nothing of a body for this time is treated as failed.
 BODY_WRITE_TIMEOUT_S = 10.0
+# After a failed write, what the endpoint had sent before is read for this time.
+UNREAD_RESPONSE_TIMEOUT_S = 0.5
 
 
 class ServerCounters(ProbeCounters, CheckCounters, ConnectionCounters, Protocol):
@@ -344,7 +346,7 @@
     async def _send_body(
         self, attempt: Attempt, connection: Connection, upload: Upload, reader: UploadReader
     ) -> None:
-        """Forward the body as it arrives. If that fails, reading the response fails too.
+        """Forward the body as it arrives. If the endpoint stops that, its response may still be read.
 
         The attempt counts as fully written just before its last byte is sent. Whether the kernel accepted
         that byte could become known only after the reading side has seen the connection break.
@@ -364,11 +366,18 @@
             if bytes_left is None:
                 self._mark_written(attempt)
                 await connection.write(http1.encode_chunk(b""))
-        except (ConnectionLostError, TimeoutError):
+            return
+        except UploadEndedError:
             if upload.aborted or upload.discarded:
                 connection.abort()  # The endpoint must not take the body as complete.
                 attempt.end(Result.NOT_SENT)  # The client caused this, so it is no failure of the server.
-            attempt.end(Result.RESET if attempt.fully_written else Result.CONNECT_FAILED)
+        except ConnectionLostError:
+            # The endpoint may have answered before it ended the connection. Reading finds that out, and
+            # cancels this task; the time limit is for a connection that only seemed to be broken.
+            await asyncio.sleep(UNREAD_RESPONSE_TIMEOUT_S)
+        except TimeoutError:
+            connection.abort()  # The endpoint must not take the body as complete.
+        attempt.end(Result.RESET if attempt.fully_written else Result.CONNECT_FAILED)
 
     async def _read_response(
         self, attempt: Attempt, connection: Connection, send_task: "asyncio.Task[None] | None" = None
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -82,6 +82,11 @@
     def closed(self) -> bool:
         return self._closed or self.stream.closed()
 
+    @property
+    def has_write_failed(self) -> bool:
+        """Whether the peer takes no more data, although the connection may still be read."""
+        return self.stream.write_error is not None
+
     def start_read(self, max_bytes: int = READ_CHUNK_BYTES) -> "asyncio.Future[bytes]":
         """Return the pending read, starting one if there is none."""
         if self._pending_read is None:
@@ -144,12 +149,13 @@
     async def write(self, data: bytes) -> None:
         """Return when the kernel has accepted all bytes.
 
-        Raises `ConnectionLostError` if it can't.
+        Raises `ConnectionLostError` if it can't. What the peer had sent before can still be read then.
         """
         try:
             await self.stream.write(data)
         except StreamClosedError as error:
             raise ConnectionLostError(str(error.real_error or "closed")) from None
+        self._check_written()
 
     async def write_to_reader(self, data: bytes, stall_timeout_s: float) -> None:
         """Write like `write`. Raises `TimeoutError` once the peer has taken nothing for the timeout."""
@@ -165,6 +171,11 @@
             await written
         except StreamClosedError as error:
             raise ConnectionLostError(str(error.real_error or "closed")) from None
+        self._check_written()
+
+    def _check_written(self) -> None:
+        if self.stream.write_error is not None:
+            raise ConnectionLostError(str(self.stream.write_error))
 
     def _queued_bytes(self) -> int:
         """Return how many bytes the kernel holds that the peer has not acknowledged."""
--- a/larkcrank/transport/pool.py
+++ b/larkcrank/transport/pool.py
@@ -47,7 +47,7 @@
 
         After `rest_s`, or half of that limit if this is shorter, it is reported to `on_rested`.
         """
-        if connection.closed:
+        if connection.closed or connection.has_write_failed:
             connection.close(CloseReason.CLOSED_BY_PEER)
             return
         now = self._loop.time()
--- a/larkcrank/transport/stream.py
+++ b/larkcrank/transport/stream.py
@@ -1,4 +1,4 @@
-"""A Tornado stream that tells its peer's FIN from every other end of the connection."""
+"""A Tornado stream that tells its peer's FIN from other ends, and that can be read after a failed write."""
 
 import errno
 import socket
@@ -10,7 +10,7 @@
 
 
 class SocketStream(IOStream):
-    """An IOStream that tells the peer's FIN from every other end.
+    """An IOStream that tells the peer's FIN from every other end, and that can be read after a failed write.
 
     Linux reports the error of a broken connection once, to whichever system call comes first; a read that
     follows returns 0 bytes, as it does for a FIN. All calls that may take the error are therefore made here.
@@ -19,6 +19,7 @@
     def __init__(self, sock: socket.socket, read_chunk_size: int) -> None:
         super().__init__(sock, read_chunk_size=read_chunk_size)
         self.fin_was_read = False  # whether a read has met the peer's FIN; everything before it was read then
+        self.write_error: OSError | None = None  # after that nothing more is sent
         self._is_broken = False  # whether an error other than a refused write was reported
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
@@ -33,14 +34,21 @@
         return byte_count
 
     def write_to_fd(self, data: memoryview) -> int:
-        """Send `data`; see `BaseIOStream.write_to_fd`."""
+        """Send `data`, or drop it if a write has failed.
+
+        IOStream would close the stream after a failed write, and with it what the peer had sent before.
+        """
+        if self.write_error is not None:
+            return len(data)
+        byte_count = len(data)
         try:
             return super().write_to_fd(data)
         except BlockingIOError:
             raise
         except OSError as error:
             self._record_error(error)
-            raise
+            self.write_error = error
+            return byte_count
 
     def get_fd_error(self) -> Exception | None:
         """Return and clear the pending error of the socket."""
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -11,8 +11,7 @@
 from hypothesis import strategies as st
 
 from larkcrank.protocol import http1
-from larkcrank.routing.exchange import Upload
-from larkcrank.transport.connection import ConnectionLostError
+from larkcrank.routing.exchange import Upload, UploadEndedError
 from larkcrank.transport.memory import (
     LARGE_READ_BYTES,
     MAX_UPLOAD_BYTES,
@@ -132,7 +131,7 @@
         waiting = asyncio.create_task(reader.next_part())
         await asyncio.sleep(0)
         upload.finish(complete=False)
-        with pytest.raises(ConnectionLostError):
+        with pytest.raises(UploadEndedError):
             await waiting
 
     b.run(work())
@@ -148,7 +147,7 @@
         upload.append(b"second")
         successor = upload.open_reader()
         assert await successor.next_part() == b"first"
-        with pytest.raises(ConnectionLostError):
+        with pytest.raises(UploadEndedError):
             await waiting
         assert await successor.next_part() == b"second"
 
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -100,6 +100,23 @@
     b.run(work())
 
 
+def test_a_fin_is_an_end_even_if_a_write_fails_before_it_is_read() -> None:
+    async def work() -> None:
+        connection, peer = connected_pair()
+        peer.sendall(SENT)
+        peer.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(0.02)
+        peer.close()
+        for _ in range(2):  # the first one is answered by a reset
+            await asyncio.sleep(0.02)
+            with contextlib.suppress(ConnectionLostError):
+                await connection.write(b"x")
+        assert await read_to_end(connection) == (len(SENT), True)
+        connection.close()
+
+    b.run(work())
+
+
 def test_a_connection_that_is_closed_here_has_no_end() -> None:
     async def work() -> None:
         connection, peer = connected_pair()
@@ -128,3 +145,33 @@
                     assert answer.status != 200 or not answer.is_whole
 
     asyncio.run(work())
+
+
+def test_what_came_before_a_failed_write_is_read() -> None:
+    async def work() -> None:
+        connection, peer = connected_pair()
+        writing = asyncio.create_task(write(connection))
+        await asyncio.sleep(0.02)
+        peer.sendall(SENT)
+        reset(peer)
+        await writing
+        assert connection.has_write_failed and not connection.closed
+        assert await read_to_end(connection) == (len(SENT), False)
+        connection.close()
+
+    b.run(work())
+
+
+@pytest.mark.parametrize("read_limit", [1_000, 30_000, 200_000])
+def test_an_endpoint_that_declines_a_long_body_and_closes_is_understood(read_limit: int) -> None:
+    target = f"/reserve/1?read_limit={read_limit}&declines=true&delay=0"
+
+    async def work() -> None:
+        async with hostile_bed.stage() as stage:
+            stage.is_honest_client_paused = True
+            answers = [await upload_plays.send(stage.port, Upload(target, 3_000_000)) for _ in range(8)]
+            assert {answer.status for answer in answers} == {503}
+            outcomes = (await stage.counters())["outcomes"]
+            assert outcomes["rejected"] and not outcomes["connect failed"] and not outcomes["reset"]
+
+    asyncio.run(work())
