Logs tell which process learnt of which change, and why an answer or a request failed

New events: `servers_changed` (generation, who told it, servers added and removed), `answer_cut` (request, server, connection, reason), `request_failed` (request, status, attempts, last result). New counter `cuts` by reason. `ListSource` names where a list came from, in place of a flag.

--- a/larkcrank/lab/scale/hollow.py
+++ b/larkcrank/lab/scale/hollow.py
@@ -43,7 +43,7 @@
 from larkcrank.protocol import http1
 from larkcrank.protocol.discovery import ListUpdate, NameTable
 from larkcrank.routing.discovery import CallKind, DiscoveryClient
-from larkcrank.routing.driver import Driver
+from larkcrank.routing.driver import Driver, ListSource
 from larkcrank.routing.servers import AttemptExecutor
 from larkcrank.transport.descriptors import DescriptorBudget
 from larkcrank.transport.memory import MemoryAccount
--- a/larkcrank/program/counters.py
+++ b/larkcrank/program/counters.py
@@ -4,7 +4,7 @@
 
 from larkcrank.core.interface import Result
 from larkcrank.routing.clients import RefusalReason
-from larkcrank.transport.closing import ClientCloseReason, CloseReason, PauseReason
+from larkcrank.transport.closing import ClientCloseReason, CloseReason, CutReason, PauseReason
 
 
 @dataclass(slots=True)
@@ -38,6 +38,7 @@
     closes: dict[str, int] = field(default_factory=dict)  # connections to endpoints closed, by reason
     client_closes: dict[str, int] = field(default_factory=dict)  # clients' connections closed, by reason
     pauses: dict[str, int] = field(default_factory=dict)  # how often a body was not read on, by reason
+    cuts: dict[str, int] = field(default_factory=dict)  # answers that were begun and not finished, by reason
     # By the result of the attempt before, or "unsent":
     retries: dict[str, int] = field(default_factory=dict)  # attempts beyond a request's first
     refusals: dict[str, int] = field(default_factory=dict)  # requests in `refused`
@@ -59,6 +60,10 @@
         """Count that nothing was read of a body for a while."""
         _increment(self.pauses, reason.value)
 
+    def cut(self, reason: CutReason) -> None:
+        """Count an answer that was begun and could not be finished."""
+        _increment(self.cuts, reason.value)
+
     def turn_away(self, reason: RefusalReason) -> None:
         """Count a request that was refused before it was taken."""
         match reason:
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -22,7 +22,7 @@
 from larkcrank.protocol.ops import Call
 from larkcrank.routing.clients import ClientConnections
 from larkcrank.routing.discovery import DiscoveryClient
-from larkcrank.routing.driver import Driver
+from larkcrank.routing.driver import Driver, ListSource
 from larkcrank.routing.life import Lifecycle, Phase
 from larkcrank.routing.servers import AttemptExecutor
 from larkcrank.transport.descriptors import DescriptorBudget, SocketUse
@@ -298,7 +298,7 @@
         if server_list is None:
             server_list = ListUpdate(0, True, ())
         # Even an empty list is passed on: at its first event the balancer sets its timer for discovery calls.
-        self._driver.receive_list(server_list, cached=True)
+        self._driver.receive_list(server_list, ListSource.START)
         if self._always_watch:
             self._discovery.watch()
         self._clock.start_heartbeat()
--- a/larkcrank/program/together.py
+++ b/larkcrank/program/together.py
@@ -23,7 +23,7 @@
 from larkcrank.fleet.wire import ServerEntry
 from larkcrank.protocol.discovery import ListUpdate, NameTable, parse_host_port
 from larkcrank.routing.discovery import DiscoveryClient
-from larkcrank.routing.driver import Driver, EventLog
+from larkcrank.routing.driver import Driver, EventLog, ListSource
 
 MIN_SAVE_INTERVAL_MS = 5000.0  # between two writes of the snapshot
 RESTART_DETECTION_MS = 60_000.0  # after a start, the time in which the kind of restart is determined
@@ -259,7 +259,7 @@
             by=shared_update.source,
             servers=len(shared_update.entries),
         )
-        self._driver.receive_list(list_update, cached=True)
+        self._driver.receive_list(list_update, ListSource.FLEET)
 
     def _detect_restart(self, now: float) -> None:
         """Infer whether this member, its zone or the fleet restarted, from how long other members run."""
--- a/larkcrank/routing/driver.py
+++ b/larkcrank/routing/driver.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 from typing import Protocol
 
 from larkcrank.core.interface import (
@@ -45,6 +46,15 @@
 OVERDUE_GRACE_FRACTION = 0.5
 
 
+class ListSource(Enum):
+    """Who told this process of a server list. The values are texts of the log."""
+
+    DISCOVERY = "discovery"
+    START = "start"  # the configuration, a snapshot, or the process that served before
+    FLEET = "fleet"
+    PROCESS = "other process"  # of this sidecar, which had it from discovery
+
+
 class BalancerInterface(Protocol):
     """The interface through which the driver uses the balancer, or a substitute for it."""
 
@@ -187,11 +197,17 @@
 
     # Callbacks of the server side and of discovery
 
-    def receive_list(self, server_list: ListUpdate, cached: bool = False) -> None:
-        """Apply a server list. `cached` is true if this process did not just receive the list from
-        discovery.
-        """
-        self._attempt_executor.apply_list(server_list)
+    def receive_list(self, server_list: ListUpdate, source: ListSource = ListSource.DISCOVERY) -> None:
+        """Apply a server list."""
+        cached = source is not ListSource.DISCOVERY
+        change = self._attempt_executor.apply_list(server_list)
+        if change and source is not ListSource.START:
+            self._event_log.event(
+                "servers_changed",
+                generation=server_list.generation,
+                source=source.value,
+                **change.as_fields(),
+            )
         if self._discovery_down and not cached:
             self._discovery_down = False
             self._event_log.event("discovery_answers", generation=server_list.generation)
@@ -327,6 +343,14 @@
             self._counters.refusal(exchange.last_result)
         else:
             self._counters.failure(exchange.last_result)
+            self._event_log.event(
+                "request_failed",
+                request=exchange.call_info.id,
+                status=status,
+                attempts=exchange.attempt_count,
+                written=exchange.written_attempts,
+                last_result=None if exchange.last_result is None else exchange.last_result.value,
+            )
         elapsed_ms = self._clock() - exchange.arrived_at
         # Counts requests that were never fully sent although more than half of their time had passed.
         if not exchange.written_attempts and elapsed_ms > (exchange.deadline - exchange.arrived_at) / 2:
--- a/larkcrank/routing/relay.py
+++ b/larkcrank/routing/relay.py
@@ -3,11 +3,13 @@
 import asyncio
 from collections.abc import Callable
 from functools import partial
+from typing import Protocol
 
 from larkcrank.core.interface import Result
 from larkcrank.protocol import http1, platform
 from larkcrank.routing.attempt import Attempt
 from larkcrank.routing.exchange import Exchange
+from larkcrank.transport.closing import CutReason
 from larkcrank.transport.connection import Connection, ConnectionLostError
 from larkcrank.transport.memory import (
     MEDIUM_READ_BYTES,
@@ -21,6 +23,12 @@
 STREAM_READ_TIMEOUT_S = 20.0
 
 
+class RelayCounters(Protocol):
+    """Counters that forwarding responses increments."""
+
+    def cut(self, reason: CutReason) -> None: ...
+
+
 class StreamRelay:
     """Forwards streamed responses, and reads less of them at a time as memory gets scarce."""
 
@@ -29,10 +37,14 @@
         memory: MemoryAccount,
         load_fields: tuple[str, ...],
         report_start: Callable[[Attempt], None],
+        counters: RelayCounters,
+        report_event: Callable[..., None],
     ) -> None:
         self._memory = memory
         self._load_fields = load_fields
         self._report_start = report_start
+        self._counters = counters
+        self._report_event = report_event
 
     async def relay(self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser) -> None:
         """Forward a response whose head has arrived, and end the attempt.
@@ -52,22 +64,39 @@
         self._report_start(attempt)
         attempt.release_response_memory()  # Counted as a stream from now on.
         reservation = MemoryReservation(self._memory, MemoryUse.STREAM)
+        cut_reason: CutReason | None = None
         try:
-            is_whole = await self._relay_parts(exchange, connection, parser, reservation)
+            await self._relay_parts(exchange, connection, parser, reservation)
             if exchange.stream_broken:  # The client has disconnected.
                 attempt.end(Result.CANCELLED)
                 return
         except ConnectionLostError as error:
-            is_whole = error.fin_was_read and parser.handle_clean_close()
-        except (TimeoutError, http1.MessageError):
-            is_whole = False
+            if not error.fin_was_read:
+                cut_reason = CutReason.RESET
+            elif not parser.handle_clean_close():
+                cut_reason = CutReason.EARLY_END
+        except TimeoutError:
+            cut_reason = CutReason.SILENT
+        except http1.MessageError:
+            cut_reason = CutReason.MALFORMED
         finally:
             reservation.release()
-        exchange.end_stream(complete=is_whole)
-        if is_whole:
+        exchange.end_stream(complete=cut_reason is None)
+        if cut_reason is None:
             attempt.end(Result.OK, platform.read_load_report(head.fields, self._load_fields))
-        else:
-            attempt.end(Result.RESET)
+            return
+        self._record_cut(attempt, cut_reason)
+        attempt.end(Result.RESET)
+
+    def _record_cut(self, attempt: Attempt, reason: CutReason) -> None:
+        self._counters.cut(reason)
+        self._report_event(
+            "answer_cut",
+            request=attempt.exchange.call_info.id,
+            server=attempt.address.hex(),
+            connection=attempt.connection_number,
+            reason=reason.value,
+        )
 
     async def _relay_parts(
         self,
@@ -75,8 +104,8 @@
         connection: Connection,
         parser: http1.ResponseParser,
         reservation: MemoryReservation,
-    ) -> bool:
-        """Return whether the response has come whole. Stops early if the client disconnects."""
+    ) -> None:
+        """Return when the response has come whole, or if the client disconnects."""
         while True:
             read_size = self._memory.read_size
             if not parser.has_sized_body:
@@ -88,7 +117,7 @@
                 await exchange.add_stream_part(part[start : start + read_size])
             del part
             if parser.complete or exchange.stream_broken:
-                return parser.complete
+                return
             async with asyncio.timeout(STREAM_READ_TIMEOUT_S):
                 data = await connection.read(read_size)
             parser.feed(data)
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import msgspec
+
 from larkcrank.core.interface import Address, Result, State
 from larkcrank.protocol import http1, platform
 from larkcrank.protocol.discovery import ListUpdate
@@ -12,7 +14,7 @@
 from larkcrank.routing.connections import AttemptConnections, ConnectionCounters
 from larkcrank.routing.exchange import Exchange, Upload, UploadEndedError, UploadReader
 from larkcrank.routing.probes import ProbeCounters, Prober
-from larkcrank.routing.relay import StreamRelay
+from larkcrank.routing.relay import RelayCounters, StreamRelay
 from larkcrank.routing.responses import CheckCounters, ResponseChecker
 from larkcrank.routing.trace import AttemptRecord, RecentAttempts
 from larkcrank.transport.answers import AnswerRecords
@@ -32,9 +34,29 @@
 BODY_WRITE_TIMEOUT_S = 10.0
 # After a failed write, what the endpoint had sent before is read for this time.
 UNREAD_RESPONSE_TIMEOUT_S = 0.5
+MAX_LOGGED_SERVERS = 8  # of one change of the list
+
+
+class ServersChange(msgspec.Struct, frozen=True):
+    """The servers to which requests may be sent from now on, and those to which none may be sent any more."""
+
+    added: set[Address]
+    removed: set[Address]
 
+    def __bool__(self) -> bool:
+        return bool(self.added or self.removed)
 
-class ServerCounters(ProbeCounters, CheckCounters, ConnectionCounters, Protocol):
+    def as_fields(self) -> dict[str, object]:
+        """Return the change as fields of a log event. Of many servers only some are named."""
+        return {
+            "added_count": len(self.added),
+            "added": [address.hex() for address in sorted(self.added)[:MAX_LOGGED_SERVERS]],
+            "removed_count": len(self.removed),
+            "removed": [address.hex() for address in sorted(self.removed)[:MAX_LOGGED_SERVERS]],
+        }
+
+
+class ServerCounters(ProbeCounters, CheckCounters, ConnectionCounters, RelayCounters, Protocol):
     """Counters that the server side increments."""
 
     sends: int
@@ -64,7 +86,9 @@
         self._connections = AttemptConnections(
             pool, descriptors, connect_timeout_ms, reuse_guard, self._answer_records, clock, counters
         )
-        self._relay = StreamRelay(memory, load_fields, lambda attempt: self.on_stream_started(attempt))
+        self._relay = StreamRelay(
+            memory, load_fields, lambda attempt: self.on_stream_started(attempt), counters, report_event
+        )
         self._prober = Prober(descriptors, connect_timeout_ms, load_fields, counters, report_failure)
         pool.on_stray_answer = self._stray_answer_at_rest
         pool.on_rested = self._checker.confirm_answers
@@ -99,8 +123,13 @@
         """Return host and port of each server, as last listed."""
         return dict(self._host_ports)
 
-    def apply_list(self, server_list: ListUpdate) -> None:
+    def apply_list(self, server_list: ListUpdate) -> ServersChange:
         """Apply a server list: update the addresses of servers and which of them accept requests."""
+        ready_before = self._ready.copy()
+        self._apply_list(server_list)
+        return ServersChange(self._ready - ready_before, ready_before - self._ready)
+
+    def _apply_list(self, server_list: ListUpdate) -> None:
         if server_list.is_full and not self._only_draining_binds:
             listed_addresses = {endpoint.address for endpoint in server_list.endpoints}
             for address in self._ready - listed_addresses:
--- a/larkcrank/transport/closing.py
+++ b/larkcrank/transport/closing.py
@@ -1,4 +1,4 @@
-"""Why connections are closed and reading is paused, for the counters."""
+"""Why connections are closed, reading is paused and answers are cut, for the counters."""
 
 from enum import Enum
 
@@ -48,3 +48,12 @@
 
     SLOW_ENDPOINT = "slow endpoint"
     MEMORY = "memory"
+
+
+class CutReason(Enum):
+    """Why an answer whose passing-on had begun was not finished. The values are names of counters."""
+
+    RESET = "reset"  # the connection ended without the endpoint's FIN
+    EARLY_END = "early end"  # the endpoint ended the connection before the end of its message
+    SILENT = "silent"
+    MALFORMED = "malformed"
--- a/tests/test_diagnostics.py
+++ b/tests/test_diagnostics.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import socket
+import struct
 from typing import cast
 
 import pytest
@@ -54,6 +55,49 @@
     testbed.run(scenario())
 
 
+@pytest.mark.parametrize(("is_reset", "reason"), [(True, "reset"), (False, "early end")])
+def test_an_answer_that_was_cut_is_logged_with_its_reason(is_reset: bool, reason: str) -> None:
+    async def cut(endpoint: testbed.Endpoint, request: http1.Request, writer: testbed.Writer) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + bytes(100_000))
+        await writer.drain()
+        if is_reset:
+            sock: socket.socket = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+    async def scenario() -> None:
+        async with testbed.bed(testbed.Endpoint("s-1", cut)) as bed:
+            client = await bed.client()
+            with pytest.raises(ConnectionError):
+                await client.call("view")
+            await testbed.until(lambda: bool(bed.sidecar.counters.cuts))
+            assert bed.sidecar.counters.cuts == {reason: 1}
+            (event,) = [line for line in bed.log_lines() if line["event"] == "answer_cut"]
+            assert (event["reason"], event["server"]) == (reason, b"s-1".hex())
+            assert event["request"] == f"r{testbed.Client.requests_sent}"
+
+    testbed.run(scenario())
+
+
+def test_a_failed_request_and_a_change_of_the_list_are_logged() -> None:
+    async def scenario() -> None:
+        endpoints = [testbed.Endpoint("s-1", testbed.respond_error), testbed.Endpoint("s-2")]
+        endpoints[1].lifecycle = "Terminating"
+        async with testbed.bed(*endpoints) as bed:
+            client = await bed.client()
+            assert (await client.call("take")).status == 502
+            (failed,) = [line for line in bed.log_lines() if line["event"] == "request_failed"]
+            assert (failed["status"], failed["attempts"], failed["last_result"]) == (502, 1, "error")
+            endpoints[1].lifecycle, endpoints[0].lifecycle = "Ready", "Terminating"
+            bed.discovery.announce(*endpoints)
+            await testbed.until(lambda: "servers_changed" in bed.log_events())
+            (change,) = [line for line in bed.log_lines() if line["event"] == "servers_changed"]
+            assert (change["source"], change["generation"]) == ("discovery", 2)
+            assert (change["added"], change["removed"]) == ([b"s-2".hex()], [b"s-1".hex()])
+
+    testbed.run(scenario())
+
+
 def test_a_probe_that_gets_no_socket_has_failed_to_connect(monkeypatch: pytest.MonkeyPatch) -> None:
     def refuse(*_: object) -> socket.socket:
         raise OSError(errno.EADDRNOTAVAIL, "no address")
