--- a/larkcrank/lab/scale/hollow.py
+++ b/larkcrank/lab/scale/hollow.py
@@ -289,7 +289,7 @@
             self._fleet_member.attach(self._discovery)
             initial_list = self._fleet_member.initial_list(None)
         self._driver.receive_list(
-            initial_list if initial_list is not None else ListUpdate(0, True, ()), cached=True
+            initial_list if initial_list is not None else ListUpdate(0, True, ()), ListSource.START
         )
         if not self._must_ask:
             self._discovery.watch()
