A client that is not read on gets its final answer when its time can be up

While the sidecar itself paused reading, the byte lay in the client's send buffer, and only 10 s without progress of one write ended the wait; then a further attempt could begin. The class: a wait that only the peer's next byte would end, while the byte does not come for a reason of ours.

Now `LastByteClock` tells from when on that byte can have been written: from the last time all that had come was read, moved on where the client is known to have written since (more came than its send buffer holds, or it came while the receive window was open, or a known length says that more must follow). When the wait from then on is over, the attempt that never got the whole body ends, which has not run, and the request is refused. It replaces `paused_ms`, which could only be used once the last byte had been read. A connection that waits for its turn counts as not read on, too.

--- a/larkcrank/program/counters.py
+++ b/larkcrank/program/counters.py
@@ -23,6 +23,7 @@
     clients_gone: int = 0  # requests whose client disconnected before the answer
     gone_before_send: int = 0  # requests in `clients_gone` that were not sent to any server
     overdue: int = 0  # requests answered 504 at their deadline, as the balancer had not decided on them
+    uploads_expired: int = 0  # requests finished at their deadline before their body was read to its end
     unsent_late: int = 0  # requests refused or failed unsent, after half of the time to their deadline
     sends: int = 0  # attempts that began to write the request to a server
     connects: int = 0  # connections opened for attempts
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -410,7 +410,7 @@
         the body ends; the rest of the body is then read and dropped. Returns whether the connection
         stays open.
         """
-        session.uploading_exchange, session.paused_ms = exchange, 0.0
+        session.uploading_exchange, session.body_bytes_read = exchange, 0
         session.mark_progress()
         upload_task = asyncio.get_running_loop().create_task(
             self._upload_receiver.receive(session, exchange, upload)
--- a/larkcrank/routing/driver.py
+++ b/larkcrank/routing/driver.py
@@ -69,6 +69,7 @@
     clients_gone: int
     gone_before_send: int
     overdue: int
+    uploads_expired: int
     unsent_late: int
     crashed: int
 
@@ -165,6 +166,24 @@
             self._attempt_executor.complete_upload(exchange)
             self.dispatch(Uploaded(exchange.id, time_left_ms))
 
+    def expire_upload(self, exchange: Exchange) -> None:
+        """Finish a request whose deadline has passed before its body was read, since its endpoint reads too
+        slowly or not at all. An attempt that has not got the whole body has not run.
+        """
+        if self._open_exchanges.get(exchange.id) is not exchange:
+            return
+        self._counters.uploads_expired += 1
+        self._event_log.event(
+            "upload_expired",
+            request=exchange.call_info.id,
+            attempts=exchange.attempt_count,
+            waited_ms=round(self._clock() - exchange.arrived_at, 1),
+        )
+        exchange.is_expired = True
+        self._attempt_executor.end_unwritten(exchange)
+        if self._open_exchanges.get(exchange.id) is exchange:  # it has no attempt, or one that is written
+            self.complete_upload(exchange)
+
     def _start_overdue_timer(self, exchange: Exchange) -> float:
         time_left_ms = exchange.deadline - self._clock()
         self._overdue_timers[exchange.id] = self._loop.call_later(
@@ -236,7 +255,8 @@
                 elapsed_ms,
                 exchange.closed,
                 load,
-                can_resend=exchange.upload is None or exchange.upload.can_resend,
+                can_resend=not exchange.is_expired
+                and (exchange.upload is None or exchange.upload.can_resend),
                 is_unproven=attempt.is_unproven,
             )
         )
--- a/larkcrank/routing/exchange.py
+++ b/larkcrank/routing/exchange.py
@@ -185,6 +185,7 @@
     upload: Upload | None = None  # The body, if it is forwarded while it is still being received.
     client_timeout_ms: float = 0.0  # How long the client waits, counted from the last byte of the request.
     key: int = 0  # The request's subject key, where requests are ordered or routed by it; 0 if there is none.
+    is_expired: bool = False  # Whether its deadline has passed, so that no further attempt may begin.
     attempt_count: int = 0  # Number of attempts that the balancer has ordered.
     written_attempts: int = 0  # Number of attempts whose last byte was passed to the kernel.
     last_result: Result | None = None  # How the latest attempt that ended has ended.
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -229,9 +229,21 @@
             attempt = self._attempts.get((exchange.id, attempt_index))
             if attempt is not None and not attempt.fully_written:
                 if attempt.writing_started and attempt.connection is not None:
-                    attempt.connection.abort()  # The endpoint must not take the body as complete.
+                    # The endpoint must not take the body as complete.
+                    attempt.connection.abort(CloseReason.CANCELLED)
                 self.cancel(exchange.id, attempt_index)
 
+    def end_unwritten(self, exchange: Exchange) -> None:
+        """End the attempts that have not got the whole body of a request, which therefore have not run."""
+        for attempt_index in range(exchange.attempt_count):
+            attempt = self._attempts.get((exchange.id, attempt_index))
+            if attempt is None or attempt.fully_written:
+                continue
+            result = Result.CONNECT_FAILED if attempt.writing_started else Result.NOT_SENT
+            if attempt.connection is not None:  # The endpoint must not take the body as complete.
+                attempt.connection.abort(CloseReason(result.value))
+            attempt.end(result)
+
     def close_idle(self, address: Address) -> None:
         """Close the idle connections to one server."""
         self._connections.close_idle(address)
@@ -398,14 +410,15 @@
             return
         except UploadEndedError:
             if upload.aborted or upload.discarded:
-                connection.abort()  # The endpoint must not take the body as complete.
+                # The endpoint must not take the body as complete.
+                connection.abort(CloseReason.NOT_SENT)
                 attempt.end(Result.NOT_SENT)  # The client caused this, so it is no failure of the server.
         except ConnectionLostError:
             # The endpoint may have answered before it ended the connection. Reading finds that out, and
             # cancels this task; the time limit is for a connection that only seemed to be broken.
             await asyncio.sleep(UNREAD_RESPONSE_TIMEOUT_S)
         except TimeoutError:
-            connection.abort()  # The endpoint must not take the body as complete.
+            connection.abort(CloseReason.TIMEOUT)  # The endpoint must not take the body as complete.
         attempt.end(Result.RESET if attempt.fully_written else Result.CONNECT_FAILED)
 
     async def _read_response(
--- a/larkcrank/routing/sessions.py
+++ b/larkcrank/routing/sessions.py
@@ -16,7 +16,9 @@
     """One connection of the application and the state of the request on it."""
 
     __slots__ = (
+        "all_read_at",
         "answered_early",
+        "body_bytes_read",
         "close_reason",
         "connection",
         "connection_memory",
@@ -26,7 +28,6 @@
         "last_progress_at",
         "lingering",
         "parser",
-        "paused_ms",
         "progress_bytes",
         "reading_paused",
         "request_memory",
@@ -43,8 +44,9 @@
         self.uploading_exchange: Exchange | None = None  # The request whose body is being received.
         self.reading_paused = False  # Whether reading is paused because the upload buffer is full.
         self.answered_early = False  # Whether the request was answered before the end of its body.
-        # How long reading was paused, in ms, since the client was last seen to be slower than reading.
-        self.paused_ms = 0.0
+        self.body_bytes_read = 0  # of the present upload, as they came
+        # When all that had come of it was last seen to be read, in ms.
+        self.all_read_at = 0.0
         self.progress_bytes = 0  # Bytes of a body received since `last_progress_at`.
         # True from the last byte of a request received to the last byte of its response sent.
         self.has_active_request = False
@@ -72,14 +74,14 @@
         """Record that the client has done what was expected of it until now."""
         self.progress_bytes, self.last_progress_at = 0, asyncio.get_running_loop().time()
 
-    def record_pause(self, paused_s: float) -> None:
-        """Record that nothing was read for a while because the endpoint had not taken what came before."""
-        self.paused_ms += paused_s * 1000.0
+    def end_pause(self) -> None:
+        """Record that reading goes on. Not reading was no fault of the client."""
         self.reading_paused = False
         self.mark_progress()
 
     def count_body_bytes(self, count: int) -> None:
         """Count bytes of a body that have arrived."""
+        self.body_bytes_read += count
         self.progress_bytes += count
         if self.progress_bytes >= REQUEST_PROGRESS_BYTES:
             self.mark_progress()
--- a/larkcrank/routing/upload_receiver.py
+++ b/larkcrank/routing/upload_receiver.py
@@ -8,10 +8,11 @@
 
 from larkcrank.protocol import http1
 from larkcrank.routing.exchange import Exchange, Upload
+from larkcrank.routing.last_byte_clock import LastByteClock
 from larkcrank.routing.sessions import ClientSession
 from larkcrank.transport.closewatch import CloseWatcher
 from larkcrank.transport.closing import PauseReason
-from larkcrank.transport.connection import ConnectionLostError
+from larkcrank.transport.connection import ConnectionLostError, largest_send_buffer
 from larkcrank.transport.memory import MEDIUM_READ_BYTES, SMALL_READ_BYTES, MemoryAccount, Pressure
 
 # While reading is paused, so often it is checked whether the client has sent everything.
@@ -25,6 +26,7 @@
     """The interface to which the progress of a body is passed."""
 
     def complete_upload(self, exchange: Exchange) -> None: ...
+    def expire_upload(self, exchange: Exchange) -> None: ...
     def handle_client_gone(self, exchange: Exchange) -> None: ...
 
 
@@ -61,50 +63,77 @@
 
         Raises `ConnectionLostError` or `MessageError` if the body is cut short or malformed.
         """
-        parser = session.parser
+        parser, clock = session.parser, LastByteClock(largest_send_buffer())
+        session.all_read_at = exchange.arrived_at
         try:
             if parser.expects_continue:
                 await session.connection.write(http1.CONTINUE_RESPONSE)
             while parser.is_streaming:
-                await self._read_upload_part(session, upload)
+                await self._read_upload_part(session, upload, clock)
                 if parser.is_streaming and upload.is_full:
                     on_close = partial(self._handler.handle_client_gone, exchange)
                     with self._close_watch.watch(session.connection, on_close):
-                        await self._pause_reading(session, exchange, upload)
+                        await self._pause_reading(session, exchange, upload, clock)
+                if clock.is_behind and parser.is_streaming:
+                    self._expire_if_due(exchange, clock)
             session.uploading_exchange = None
             upload.finish(complete=True)
-            self._handle_last_byte(exchange, session.data_arrived_at - session.paused_ms)
+            arrived_at = session.data_arrived_at
+            self._handle_last_byte(
+                exchange, min(arrived_at, clock.earliest_at) if clock.is_behind else arrived_at
+            )
         except (ConnectionLostError, http1.MessageError):
             upload.finish(complete=False)
             raise
 
-    async def _read_upload_part(self, session: ClientSession, upload: Upload) -> None:
+    async def _read_upload_part(self, session: ClientSession, upload: Upload, clock: LastByteClock) -> None:
         loop, parser = asyncio.get_running_loop(), session.parser
         read_size = read_size_for(parser, self._memory)
-        started_at = loop.time()
+        started_at, started_at_ms = loop.time(), self._arrival_time()
         must_wait = not session.connection.start_read(read_size).done()
         data = await session.connection.read(read_size)
-        if must_wait and loop.time() - started_at > CLIENT_WAIT_S:
-            session.paused_ms = 0.0  # The client did not have the next part ready: the pauses cost nothing.
+        if loop.time() - started_at > CLIENT_WAIT_S:
+            if must_wait:
+                clock.catch_up()
+            else:  # the data was there, and this connection had to wait for its turn
+                clock.fall_behind(started_at_ms, session.body_bytes_read)
+        if must_wait:
+            session.all_read_at = started_at_ms
         parser.feed(data)
         body_part = parser.take_part()
         session.data_arrived_at = self._arrival_time()
-        upload.append(body_part)
         session.count_body_bytes(len(data))
+        upload.append(body_part)
+        if clock.is_behind:
+            observe_input(session, clock, session.data_arrived_at)
 
-    async def _pause_reading(self, session: ClientSession, exchange: Exchange, upload: Upload) -> None:
-        """Read nothing until the endpoint has taken what came before. The client's time runs on if it has
-        sent everything.
+    async def _pause_reading(
+        self, session: ClientSession, exchange: Exchange, upload: Upload, clock: LastByteClock
+    ) -> None:
+        """Read nothing until the endpoint has taken what came before. The client's time runs on, unless it
+        is known to be still writing.
         """
-        started_at = asyncio.get_running_loop().time()
         session.reading_paused = True
         is_memory_scarce = self._memory.pressure >= Pressure.HIGH
         self._counters.pause(PauseReason.MEMORY if is_memory_scarce else PauseReason.SLOW_ENDPOINT)
+        clock.fall_behind(session.all_read_at, session.body_bytes_read)
         while upload.is_full:
+            now = self._arrival_time()
+            observe_input(session, clock, now)
             if has_sent_everything(session):
-                self._handle_last_byte(exchange, self._arrival_time() - session.paused_ms)
+                self._handle_last_byte(exchange, min(now, clock.earliest_at))
+            self._expire_if_due(exchange, clock)
             await upload.wait_for_room(ARRIVAL_CHECK_INTERVAL_S)
-        session.record_pause(asyncio.get_running_loop().time() - started_at)
+        session.end_pause()
+
+    def _expire_if_due(self, exchange: Exchange, clock: LastByteClock) -> None:
+        """Finish the request if its client may have waited for its whole time."""
+        if exchange.deadline < math.inf or exchange.closed:
+            return
+        due_at = min(clock.earliest_at + exchange.client_timeout_ms, self._latest_deadline())
+        if self._arrival_time() >= due_at:
+            exchange.arrived_at, exchange.deadline = clock.earliest_at, due_at
+            self._handler.expire_upload(exchange)
 
     def _handle_last_byte(self, exchange: Exchange, arrived_at: float) -> None:
         """Start the time of a request whose client has sent the last byte. Later calls have no effect."""
@@ -115,6 +144,15 @@
         self._handler.complete_upload(exchange)
 
 
+def observe_input(session: ClientSession, clock: LastByteClock, now: float) -> None:
+    """Tell the clock how much of the body has come, and whether more could have."""
+    connection, bytes_left = session.connection, session.parser.body_bytes_left
+    unread_bytes = connection.unread_bytes()
+    missing_bytes = None if bytes_left is None else bytes_left - unread_bytes
+    received_bytes = session.body_bytes_read + unread_bytes
+    clock.observe(now, received_bytes, missing_bytes, connection.is_receive_window_open())
+
+
 def read_size_for(parser: http1.RequestParser, memory: MemoryAccount) -> int:
     """Return how much to read at once. A head is short; chunks take long to parse for their size."""
     if not parser.has_body_ahead:
--- a/larkcrank/transport/connection.py
+++ b/larkcrank/transport/connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import fcntl
+import functools
 import select
 import socket
 import struct
@@ -32,6 +33,13 @@
     SocketUse.OPERATOR: 64 * 1024,
 }
 _INT = struct.Struct("i")
+# The socket option that tells the memory of a socket, first what its input takes and the limit of that.
+_SO_MEMINFO = 55
+_MEMORY_INFO = struct.Struct("II")
+# At this part of the limit the window is still open, whatever share of the memory is overhead.
+SURELY_OPEN_FACTOR = 4
+_SEND_BUFFER_LIMITS = "/proc/sys/net/ipv4/tcp_wmem"
+DEFAULT_LARGEST_SEND_BUFFER = 4 << 20
 # Linux only: poll() reports that the peer has closed even if unread bytes come before the end.
 POLLRDHUP = int(getattr(select, "POLLRDHUP", 0))
 
@@ -218,6 +226,20 @@
         (byte_count,) = _INT.unpack(answer)
         return int(byte_count)
 
+    def is_receive_window_open(self) -> bool:
+        """Return whether the kernel surely has room for more input, so that none waits at the peer.
+
+        Linux only: elsewhere it is never sure.
+        """
+        try:
+            answer = self.stream.socket.getsockopt(socket.SOL_SOCKET, _SO_MEMINFO, _MEMORY_INFO.size)
+        except (OSError, AttributeError):
+            return False
+        if len(answer) < _MEMORY_INFO.size:
+            return False
+        allocated_bytes, limit_bytes = _MEMORY_INFO.unpack(answer)
+        return bool(allocated_bytes * SURELY_OPEN_FACTOR <= limit_bytes)
+
     def peek(self, max_bytes: int) -> bytes:
         """Return what the kernel has received that was not read, up to `max_bytes`, and leave it there."""
         try:
@@ -290,6 +312,16 @@
     return Connection(SocketStream(sock, READ_CHUNK_BYTES), descriptors, use)
 
 
+@functools.cache
+def largest_send_buffer() -> int:
+    """Return to how many bytes the kernel lets the send buffer of a TCP socket grow."""
+    try:
+        with open(_SEND_BUFFER_LIMITS) as limits:
+            return int(limits.read().split()[2])
+    except (OSError, ValueError, IndexError):
+        return DEFAULT_LARGEST_SEND_BUFFER
+
+
 class NoDescriptorError(Exception):
     """No file descriptor is available for another socket."""
 
--- a/tests/upload_plays.py
+++ b/tests/upload_plays.py
@@ -111,6 +111,7 @@
 
 CUT = "/reserve/1?read_limit={}&size={}&framing={}&delay=0.01&reset_after={}&lumps={}&seconds={}"
 STUCK = "/reserve/1?read_limit=18975&is_silent=true"
+RATE = "/reserve/1?read_rate={}"
 SLOW = "/reserve/1?read_rate=64000"
 PLAYS: dict[str, tuple[float, Upload, int, int, int]] = {
     "cut-3m": (192, Upload(CUT.format(60_000, 253_025, "close", 126_512, 1, 0), 3_000_000), 64, 4, 253_025),
@@ -137,6 +138,12 @@
     "slow-48": (48, Upload(SLOW, 2_000_000), 4, 2, 0),
     "slow-32": (32, Upload(SLOW, 2_000_000), 4, 2, 0),
     "slow-64": (64, Upload(SLOW, 5_000_000), 4, 2, 0),
+    "sound-steady": (32, Upload(RATE.format(700_000), 2_000_000, True, 4.9), 6, 2, 0),
+    "sound-steady-sized": (32, Upload(RATE.format(700_000), 2_000_000, False, 4.9), 6, 2, 0),
+    "sound-fine-steps": (32, Upload(RATE.format(700_000), 2_000_000, True, 4.9, pieces=400), 6, 2, 0),
+    "sound-wait-4": (32, Upload(RATE.format(1_000_000), 2_000_000, True, deadline_s=4.0), 6, 2, 0),
+    "sound-32m": (64, Upload(RATE.format(12_000_000), 32_000_000, False), 4, 1, 0),
+    "sound-32m-chunked": (192, Upload(RATE.format(12_000_000), 32_000_000, True), 4, 1, 0),
     "declines": (192, Upload("/reserve/1?read_limit=30000&declines=true&delay=0", 3_000_000), 16, 2, 0),
 }
 
