A test of evictions waits for its one pooled connection, not for a moment of 2 ms

Traced: three calls on connections that must rest first leave three pooled connections, and the test waited until idle times had closed two of them 7.5 s later, 2 ms before the third (seen: 3 connections, 2 at 7.4955 s, 1 at 7.4985 s, 0 at 7.5003 s). Now answer times are known first, so that the calls share one connection, as the condition says; it is as strict, and 7.5 s shorter.

--- a/tests/test_full_house.py
+++ b/tests/test_full_house.py
@@ -405,6 +405,7 @@
         one = b.Endpoint("s-1")
         async with b.bed(one, sockets=32) as bed:
             sidecar, descriptors = bed.sidecar, bed.sidecar.descriptors
+            bed.make_times_known()
             idle_clients = [await bed.client() for _ in range(3)]
             for client in idle_clients:
                 assert (await client.call("view")).status == 200
