What one process of a sidecar is told by discovery binds the others, at once

Cause: the handover is of one moment, and nothing that a process learnt afterwards reached the other. The class: two processes, one sidecar; whatever binds it and is learnt by one has to reach the other.

Now each answer of discovery goes to the other processes as it came, before it is parsed, over the channel of the request ids, in both directions and on to a third process. A list that is late, comes twice or is of another discovery changes nothing; where changes before it are missing it is applied, and the generation stays. An own answer older than what was shared meanwhile is dropped. A SIGHUP that one process gets moves the others. New kinds are announced, by the predecessor in its message and by the successor on the channel, since an older build ends the channel at an unknown kind. Nothing waits for a process that takes nothing: 8 MiB are kept for it at most. The handover names the discovery whose generation it tells, and a successor with other settings takes the list, request ids and news over, though not what was learnt.

--- a/larkcrank/program/counters.py
+++ b/larkcrank/program/counters.py
@@ -4,6 +4,7 @@
 
 from larkcrank.core.interface import Result
 from larkcrank.routing.clients import RefusalReason
+from larkcrank.routing.discovery import SharedListUse
 from larkcrank.transport.closing import ClientCloseReason, CloseReason, CutReason, PauseReason
 
 
@@ -33,6 +34,8 @@
     lists: int = 0  # server lists received from discovery
     discovery_calls: int = 0
     discovery_failures: int = 0
+    shared_lists: dict[str, int] = field(default_factory=dict)  # from other processes of the sidecar, by use
+    news_dropped: int = 0  # what could not be told to another process, since it takes nothing
     operators_calls: int = 0
     crashed: int = 0  # unexpected exceptions
     outcomes: dict[str, int] = field(default_factory=lambda: {result.value: 0 for result in Result})
@@ -61,6 +64,10 @@
         """Count that nothing was read of a body for a while."""
         _increment(self.pauses, reason.value)
 
+    def shared_list(self, use: SharedListUse) -> None:
+        """Count a list that another process of the sidecar had from discovery."""
+        _increment(self.shared_lists, use.value)
+
     def cut(self, reason: CutReason) -> None:
         """Count an answer that was begun and could not be finished."""
         _increment(self.cuts, reason.value)
--- a/larkcrank/program/handover.py
+++ b/larkcrank/program/handover.py
@@ -19,8 +19,9 @@
 
 from larkcrank.core.interface import Address
 from larkcrank.core.state import HandoverState
-from larkcrank.protocol import claims
-from larkcrank.protocol.claims import ClaimKind, ClaimMessage, ClaimParser
+from larkcrank.program.process_link import ProcessLink
+from larkcrank.protocol import process_messages
+from larkcrank.protocol.process_messages import MessageKind, MessageParser, News, ProcessMessage
 
 VERSION = 1
 MAX_MESSAGE_BYTES = 8 << 20
@@ -42,12 +43,22 @@
     places: dict[Address, tuple[str, int]]  # host and port of each server
     learnt: HandoverState  # the learned state of the balancer
     answers_claims: bool = False  # whether the sender answers claims of request ids
+    shares_news: bool = False  # whether the sender understands news
+    discovery: str = ""  # host:port of the service whose generation this is; empty: not told
 
 
 class HandoverError(Exception):
     """A predecessor exists or existed, but its message is missing or unusable. The text gives the reason."""
 
 
+class OtherSettingsError(HandoverError):
+    """The predecessor has other settings, so that what it has learnt does not apply. Its list does."""
+
+    def __init__(self, message: HandoverMessage) -> None:
+        super().__init__("with other settings")
+        self.message = message
+
+
 _decoder = msgspec.msgpack.Decoder(HandoverMessage)
 
 
@@ -58,13 +69,17 @@
 
 
 def decode(body: bytes, sidecar: str, settings: str) -> HandoverMessage:
-    """Decode the body. Raises `HandoverError` if it is damaged, or of another sidecar or other settings."""
+    """Decode the body. Raises `HandoverError` if it is damaged, or of another sidecar or other settings,
+    in the last case an `OtherSettingsError`.
+    """
     try:
         message = _decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise HandoverError(f"damaged: {error}") from None
-    if (message.sidecar, message.settings) != (sidecar, settings):
-        raise HandoverError("of another sidecar, or with other settings")
+    if message.sidecar != sidecar:
+        raise HandoverError("of another sidecar")
+    if message.settings != settings:
+        raise OtherSettingsError(message)
     return message
 
 
@@ -77,7 +92,7 @@
     """The connection to the process that still serves."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._reader, self._writer = reader, writer
+        self._reader, self.link = reader, ProcessLink(writer)
         self._watch_task: asyncio.Task[None] | None = None
         self._claims: dict[int, asyncio.Future[bool]] = {}  # by number
         self._last_claim = 0
@@ -97,9 +112,23 @@
         except (OSError, asyncio.IncompleteReadError):
             raise HandoverError("cut short") from None
 
-    def watch(self, on_exit: Callable[[], None], on_known_id: Callable[[str], None]) -> None:
-        """Call `on_exit` once the predecessor has exited, and `on_known_id` for each request id it takes."""
-        self._watch_task = asyncio.get_running_loop().create_task(self._read_until_exit(on_exit, on_known_id))
+    def share_news(self) -> None:
+        """Tell a predecessor that understands news that this process does so, too."""
+        self.link.enable_news()
+        self.link.send(ProcessMessage(MessageKind.SHARES_NEWS))
+
+    def watch(
+        self,
+        on_exit: Callable[[], None],
+        on_known_id: Callable[[str], None],
+        on_news: Callable[[News, ProcessLink], None] = lambda *_: None,
+    ) -> None:
+        """Call `on_exit` once the predecessor has exited, `on_known_id` for each request id that it takes,
+        and `on_news` for what discovery tells it.
+        """
+        self._watch_task = asyncio.get_running_loop().create_task(
+            self._read_until_exit(on_exit, on_known_id, on_news)
+        )
 
     async def claim(self, request_id: str) -> bool:
         """Return whether a request may be taken: the predecessor has not taken one with this id.
@@ -110,25 +139,32 @@
         number = self._last_claim
         answer: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self._claims[number] = answer
-        self._writer.write(claims.encode(ClaimMessage(ClaimKind.CLAIM, number, request_id)))
+        self.link.send(process_messages.id_message(MessageKind.CLAIM, request_id, number))
         try:
             async with asyncio.timeout(CLAIM_TIMEOUT_S):
                 return await answer
         finally:
             del self._claims[number]
 
-    async def _read_until_exit(self, on_exit: Callable[[], None], on_known_id: Callable[[str], None]) -> None:
-        parser = ClaimParser()
+    async def _read_until_exit(
+        self,
+        on_exit: Callable[[], None],
+        on_known_id: Callable[[str], None],
+        on_news: Callable[[News, ProcessLink], None],
+    ) -> None:
+        parser = MessageParser()
         try:
             while data := await self._reader.read(READ_BYTES):
                 for message in parser.feed(data):
-                    if message.kind is ClaimKind.KNOWN:
+                    if message.kind is MessageKind.KNOWN:
                         on_known_id(message.request_id)
-                    else:
-                        self._answer_claim(message.number, message.kind is ClaimKind.GRANTED)
+                    elif message.kind in (MessageKind.GRANTED, MessageKind.DENIED):
+                        self._answer_claim(message.number, message.kind is MessageKind.GRANTED)
+                    elif (news := self.link.receive(message)) is not None:
+                        on_news(news, self.link)
         except (OSError, ValueError):
             pass
-        self._writer.close()
+        self.link.close()
         on_exit()
         for number in self._claims:
             self._answer_claim(number, True)
@@ -142,7 +178,7 @@
         """Close the connection. `on_exit` is not called any more."""
         if self._watch_task is not None:
             self._watch_task.cancel()
-        self._writer.close()
+        self.link.close()
 
 
 async def connect_to_predecessor(path: Path) -> Predecessor | None:
@@ -178,12 +214,15 @@
         make_message: Callable[[], bytes],
         on_count_change: Callable[[int], None],
         request_ids: SharedIds,
+        on_news: Callable[[News, ProcessLink], None] = lambda *_: None,
     ) -> None:
-        """`on_count_change` gets the number of connected successors each time it changes."""
+        """`on_count_change` gets the number of connected successors each time it changes, `on_news` what
+        discovery tells one of them.
+        """
         self._path, self._make_message, self._on_count_change = path, make_message, on_count_change
-        self._request_ids = request_ids
+        self._request_ids, self._on_news = request_ids, on_news
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._links: set[ProcessLink] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._socket_file_id: tuple[int, int] = (0, 0)  # device, inode
 
@@ -211,37 +250,44 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _serve_successor(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._writers.add(writer)
-        self._on_count_change(len(self._writers))
+        link = ProcessLink(writer)
+        self._links.add(link)
+        self._on_count_change(len(self._links))
         try:
             writer.write(self._make_message())
             for request_id in self._request_ids.all_ids():
-                writer.write(claims.encode(ClaimMessage(ClaimKind.KNOWN, 0, request_id)))
-            parser = ClaimParser()
+                link.send(process_messages.id_message(MessageKind.KNOWN, request_id))
+            parser = MessageParser()
             while data := await reader.read(READ_BYTES):
                 for message in parser.feed(data):
-                    self._answer(message, writer)
+                    if message.kind is MessageKind.CLAIM:
+                        self._answer_claim(message, link)
+                    elif (news := link.receive(message)) is not None:
+                        self._on_news(news, link)
         except (OSError, ValueError):
             pass
         finally:
-            writer.close()
-            self._writers.discard(writer)
-            self._on_count_change(len(self._writers))
+            link.close()
+            self._links.discard(link)
+            self._on_count_change(len(self._links))
 
     def tell_known(self, request_id: str) -> None:
         """Tell all successors that a request is taken here."""
-        for writer in self._writers:
-            writer.write(claims.encode(ClaimMessage(ClaimKind.KNOWN, 0, request_id)))
+        for link in self._links:
+            link.send(process_messages.id_message(MessageKind.KNOWN, request_id))
+
+    @property
+    def links(self) -> set[ProcessLink]:
+        """The connections to all successors."""
+        return self._links
 
-    def _answer(self, message: ClaimMessage, writer: asyncio.StreamWriter) -> None:
+    def _answer_claim(self, message: ProcessMessage, link: ProcessLink) -> None:
         """Grant a claim, and remember its id, unless the id is known here."""
-        if message.kind is not ClaimKind.CLAIM:
-            return
         is_known = message.request_id in self._request_ids
         if not is_known:
             self._request_ids.remember(message.request_id)
-        kind = ClaimKind.DENIED if is_known else ClaimKind.GRANTED
-        writer.write(claims.encode(ClaimMessage(kind, message.number, message.request_id)))
+        kind = MessageKind.DENIED if is_known else MessageKind.GRANTED
+        link.send(process_messages.id_message(kind, message.request_id, message.number))
 
     def close(self) -> None:
         """Stop listening, and remove the path unless a successor has taken it over."""
@@ -255,5 +301,5 @@
                 self._path.unlink()
         except OSError:
             pass
-        for writer in self._writers:
-            writer.close()
+        for link in self._links:
+            link.close()
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -6,6 +6,7 @@
 import socket
 import tempfile
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING, Any
@@ -18,8 +19,10 @@
 from larkcrank.program.log import Log
 from larkcrank.program.memory_monitor import MemoryMonitor
 from larkcrank.program.ops import OperatorServer
-from larkcrank.protocol.discovery import ListUpdate, NameTable
+from larkcrank.program.process_link import ProcessLink
+from larkcrank.protocol.discovery import ListUpdate, NameTable, format_host_port, parse_host_port
 from larkcrank.protocol.ops import Call
+from larkcrank.protocol.process_messages import DiscoveryMove, News, SharedList
 from larkcrank.routing.clients import ClientConnections
 from larkcrank.routing.discovery import DiscoveryClient
 from larkcrank.routing.driver import Driver, ListSource
@@ -97,6 +100,7 @@
             config.fallback_discovery,
             config.watch_ms,
         )
+        self._discovery.on_answer = self._share_news
         balancer = Balancer(site.decisions, Random(self._rng.getrandbits(64)), self._clock())
         self._balancer = balancer
         self._driver = Driver(
@@ -175,7 +179,23 @@
         if self._ops_listener is not None:
             self._ops_listener.start()  # operators' calls are answered already, with "starting"
         path = handover.socket_path(tempfile.gettempdir(), self._config.name)
-        message, must_wait = None, False
+        message, has_same_settings = await self._receive_handover(path)
+        self._load_initial_servers(message if has_same_settings else None)
+        if message is not None and not has_same_settings:
+            self._load_list_of_predecessor(message)
+        if not has_same_settings:
+            wait_until = asyncio.get_running_loop().time() + DISCOVERY_WAIT_S
+            while not self.counters.lists and asyncio.get_running_loop().time() < wait_until:
+                await asyncio.sleep(POLL_INTERVAL_S)
+        await self._start_handover_server(path)
+        self._start_accepting()
+
+    async def _receive_handover(self, path: Path) -> tuple[handover.HandoverMessage | None, bool]:
+        """Connect to the process that serves now, if there is one.
+
+        Return its message, None if there is none that is usable, and whether what it has learnt can be used.
+        """
+        message, has_same_settings = None, True
         try:
             self._predecessor = await handover.connect_to_predecessor(path)
             if self._predecessor is not None:
@@ -183,20 +203,61 @@
                     await self._predecessor.read_message(), self._config.name, self._settings_key()
                 )
         except handover.HandoverError as error:
-            must_wait = True
+            has_same_settings = False
             self.log.event("handover_unusable", message=str(error))
+            if isinstance(error, handover.OtherSettingsError):
+                message = error.message
         if self._predecessor is not None:
             self._set_other_processes(0, 1)
-            self._predecessor.watch(self._on_predecessor_exit, self.clients.request_ids.remember)
+            self._predecessor.watch(
+                self._on_predecessor_exit, self.clients.request_ids.remember, self._on_news
+            )
             if message is not None and message.answers_claims:
                 self.clients.claim_id = self._predecessor.claim
-        self._load_initial_servers(message)
-        if must_wait:
-            wait_until = asyncio.get_running_loop().time() + DISCOVERY_WAIT_S
-            while not self.counters.lists and asyncio.get_running_loop().time() < wait_until:
-                await asyncio.sleep(POLL_INTERVAL_S)
-        await self._start_handover_server(path)
-        self._start_accepting()
+            if message is not None and message.shares_news:
+                self._predecessor.share_news()
+        return message, has_same_settings
+
+    def _load_list_of_predecessor(self, message: handover.HandoverMessage) -> None:
+        """Take over the list of a predecessor with other settings, which may number zones otherwise."""
+        endpoints = tuple(
+            replace(
+                server.endpoint,
+                zone=self._names.number_of(self._names.zones, message.zones[server.endpoint.zone]),
+                kind=self._names.number_of(self._names.kinds, message.kinds[server.endpoint.kind]),
+            )
+            for server in message.learnt.servers
+            if server.endpoint.zone < len(message.zones) and server.endpoint.kind < len(message.kinds)
+        )
+        if message.discovery == format_host_port(self._discovery.primary):
+            self._discovery.set_generation(message.generation)
+            self._driver.receive_list(
+                ListUpdate(message.generation or 0, True, endpoints, message.places), ListSource.START
+            )
+
+    def _share_news(self, news: News, source: ProcessLink | None = None) -> None:
+        """Tell the other processes of this sidecar what one of them, or this one, was told."""
+        links = set() if self._handover_server is None else set(self._handover_server.links)
+        if self._predecessor is not None:
+            links.add(self._predecessor.link)
+        links.discard(source)
+        for link in links:
+            if not link.share(news):
+                self.counters.news_dropped += 1
+
+    def _on_news(self, news: News, source: ProcessLink) -> None:
+        """Handle what discovery has told to another process of this sidecar. It binds this one, too."""
+        self._share_news(news, source)
+        if isinstance(news, SharedList):
+            self.counters.shared_list(self._discovery.receive_shared(news))
+            return
+        try:
+            address = parse_host_port(news.discovery)
+            fallbacks = [parse_host_port(fallback) for fallback in news.fallbacks]
+        except ValueError:
+            return
+        self.log.event("moved_with_other_process", discovery=news.discovery)
+        self._discovery.move_to(address, fallbacks)
 
     async def _start_handover_server(self, path: Path) -> None:
         self._handover_server = handover.HandoverServer(
@@ -204,6 +265,7 @@
             self._handover_message,
             lambda count: self._set_other_processes(1, count),
             self.clients.request_ids,
+            self._on_news,
         )
         self.clients.request_ids.on_begin = self._handover_server.tell_known
         try:
@@ -222,6 +284,8 @@
             self._servers.host_ports(),
             self._balancer.export_state(),
             answers_claims=True,
+            shares_news=True,
+            discovery=format_host_port(self._discovery.primary),
         )
         return handover.encode(message)
 
@@ -285,7 +349,8 @@
             self._names.zones[:], self._names.kinds[:] = message.zones, message.kinds
             endpoints = tuple(server.endpoint for server in message.learnt.servers)
             server_list = ListUpdate(message.generation or 0, True, endpoints, message.places)
-            self._discovery.set_generation(message.generation)
+            if message.discovery in ("", format_host_port(self._discovery.primary)):
+                self._discovery.set_generation(message.generation)
             # Discovery may no longer respond, so the first call must be one that does not wait.
             self._discovery.mark_availability_unknown()
             self.log.event("taken_over", known=len(endpoints), taken=message.learnt.known[1])
@@ -378,6 +443,8 @@
             needs_restart=self._config.changes_needing_restart(new_config),
         )
         self._discovery.move_to(new_config.discovery, new_config.fallback_discovery)
+        fallbacks = [format_host_port(fallback) for fallback in new_config.fallback_discovery]
+        self._share_news(DiscoveryMove(format_host_port(new_config.discovery), fallbacks))
 
     def log_counters(self) -> None:
         """Log all counters in one event."""
--- a/larkcrank/program/together.py
+++ b/larkcrank/program/together.py
@@ -158,6 +158,7 @@
         # state, and the time at which the fleet learned of this state (clock, ms).
         self._departed_servers: dict[str, tuple[float, State, float]] = {}
         self._forward_list: Callable[[ListUpdate], None] = driver.receive_list
+        self._forward_shared_list: Callable[[ListUpdate], None] = driver.receive_list
         self._forward_failure: Callable[[str], None] = lambda reason: None
         self._is_disabled = False
         # The second value of `_encode_snapshot` at the last successful write.
@@ -173,11 +174,13 @@
         From then on, the client calls discovery only when `_may_call_discovery` permits it.
         """
         self._forward_list, self._forward_failure = discovery.on_list, discovery.on_failure
+        self._forward_shared_list = discovery.on_shared_list
         discovery.on_list, discovery.on_failure, discovery.may_call = (
             self._on_list,
             self._on_failure,
             self._may_call_discovery,
         )
+        discovery.on_shared_list = self._on_shared_list
 
     def disable(self) -> None:
         """Behave as without a fleet: forward discovery's lists unchanged and allow every call."""
@@ -199,8 +202,15 @@
     # Lists from discovery, and permission to call it
 
     def _on_list(self, list_update: ListUpdate) -> None:
-        now = self._clock()
         self._call_gate.on_success()
+        self._combine_list(list_update, self._forward_list)
+
+    def _on_shared_list(self, list_update: ListUpdate) -> None:
+        """Handle a list that discovery has told to another process of this sidecar."""
+        self._combine_list(list_update, self._forward_shared_list)
+
+    def _combine_list(self, list_update: ListUpdate, forward_list: Callable[[ListUpdate], None]) -> None:
+        now = self._clock()
         entries = self._entries_of(list_update)
         if self._server_list is None:
             if not self._is_disabled:
@@ -208,12 +218,12 @@
                     *self._early_lists,
                     (now, entries, list_update.generation, list_update.is_full),
                 ][-MAX_EARLY_LISTS:]
-            self._forward_list(list_update)
+            forward_list(list_update)
             return
         accepted = self._server_list.on_discovery_list(
             now, entries, list_update.generation, list_update.is_full
         )
-        self._forward_list(
+        forward_list(
             list_update
             if accepted == entries
             else self._make_list_update(list_update.generation, list_update.is_full, accepted)
--- a/larkcrank/protocol/discovery.py
+++ b/larkcrank/protocol/discovery.py
@@ -102,6 +102,11 @@
     return host, int(port)
 
 
+def format_host_port(host_port: tuple[str, int]) -> str:
+    """Return an address in the form `host:port`."""
+    return "{}:{}".format(*host_port)
+
+
 def watch_target(generation: int, wait_ms: int) -> bytes:
     """Return the target of a long poll for changes after `generation`."""
     return b"%s?after=%d&wait_ms=%d" % (LIST_TARGET, generation, wait_ms)
--- a/larkcrank/routing/discovery.py
+++ b/larkcrank/routing/discovery.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 from larkcrank.protocol import discovery, http1
-from larkcrank.protocol.discovery import ListUpdate, NameTable
+from larkcrank.protocol.discovery import ListUpdate, NameTable, format_host_port
+from larkcrank.protocol.process_messages import SharedList
 from larkcrank.transport.connection import (
     Connection,
     ConnectionLostError,
@@ -49,6 +50,22 @@
     FULL_LIST = "list"  # Requests the full list.
 
 
+class SharedListUse(Enum):
+    """What became of a list that another process shared. The values are names of counters."""
+
+    APPLIED = "applied"
+    OUTDATED = "outdated"  # it is no later than the list that is known here
+    OTHER_DISCOVERY = "other discovery"
+    MALFORMED = "malformed"
+
+
+def as_full(list_update: ListUpdate) -> ListUpdate:
+    """Return a list that was asked for as a whole as such, whatever it says of itself."""
+    if list_update.is_full:
+        return list_update
+    return ListUpdate(list_update.generation, True, list_update.endpoints, list_update.host_ports)
+
+
 class DiscoveryCounters(Protocol):
     """Counters that the discovery client increments."""
 
@@ -111,6 +128,12 @@
         self._fetch_task: asyncio.Task[None] | None = None
         self._closed = False
         self.on_list: Callable[[ListUpdate], None] = lambda _: None
+        # Gets each answer as it came, before anything else is done with it.
+        self.on_answer: Callable[[SharedList], None] = lambda _: None
+        # Gets lists that another process of this sidecar had from discovery.
+        self.on_shared_list: Callable[[ListUpdate], None] = lambda _: None
+        self._shared_count = 0  # lists that `receive_shared` took
+        self._newest_shared = -1  # the latest generation among them
         self.on_failure: Callable[[str], None] = lambda _: None
         # Whether a call is allowed now. If set, it alone controls the timing: a failed watch waits until it
         # allows the next call.
@@ -137,6 +160,39 @@
         if not self._address_changed:
             self._generation = generation
 
+    @property
+    def primary(self) -> tuple[str, int]:
+        """The address that the configuration names first."""
+        return self._host_port if self._failover is None else self._failover.primary
+
+    def receive_shared(self, shared_list: SharedList) -> SharedListUse:
+        """Take a list that another process of this sidecar had from discovery.
+
+        A later list of the same service binds this process, too. Where changes before it are missing here, it
+        is applied, and the next call to discovery still asks for them.
+        """
+        if shared_list.discovery != format_host_port(self.primary):
+            return SharedListUse.OTHER_DISCOVERY
+        try:
+            list_update = discovery.parse_list(shared_list.text, self._names)
+        except discovery.ServerListError:
+            return SharedListUse.MALFORMED
+        base_generation, known_generation = shared_list.base_generation, self._generation
+        if known_generation is not None and list_update.generation <= known_generation:
+            return SharedListUse.OUTDATED
+        if base_generation is None:
+            list_update = as_full(list_update)
+        if list_update.is_full or (
+            base_generation is not None
+            and known_generation is not None
+            and base_generation <= known_generation
+        ):
+            self._generation = list_update.generation
+        self._shared_count += 1
+        self._newest_shared = max(self._newest_shared, list_update.generation)
+        self.on_shared_list(list_update)
+        return SharedListUse.APPLIED
+
     def mark_availability_unknown(self) -> None:
         """Record that it is unknown whether discovery responds, so that the next call checks this before any
         call that waits.
@@ -180,8 +236,7 @@
         The first call is made at once, not at the balancer's next request for the list, because the contract
         assumes that the sidecar knows the changes of the new discovery soon.
         """
-        primary = self._host_port if self._failover is None else self._failover.primary
-        if (host_port, tuple(fallbacks)) == (primary, self._fallbacks):
+        if (host_port, tuple(fallbacks)) == (self.primary, self._fallbacks):
             return
         self._cancel_calls()  # A late response of the old address must not overwrite the new list.
         self._host_port, self._generation, self._address_changed = host_port, None, True
@@ -189,6 +244,7 @@
         self._failover = self._create_failover()
         self._watch_task = self._fetch_task = None
         self._availability_unknown = False
+        self._newest_shared = -1
         if self._watch_wanted or self._watch_after_move:
             self.watch()
 
@@ -331,7 +387,7 @@
 
     async def _call(self, connection: "_DiscoveryConnection", call_kind: CallKind) -> Exception | None:
         """Make one call. Returns the error if it failed, None otherwise."""
-        watch_answers_before = self._watch_answer_count
+        watch_answers_before, shared_before = self._watch_answer_count, self._shared_count
         self._counters.discovery_calls += 1
         asks_full_list = call_kind is CallKind.FULL_LIST or self._generation is None
         try:
@@ -348,12 +404,12 @@
                 list_update = await self._get_list(
                     connection, CallKind.CHECK if call_kind is CallKind.WATCH else call_kind
                 )
-            if asks_full_list and not list_update.is_full:
-                list_update = ListUpdate(
-                    list_update.generation, True, list_update.endpoints, list_update.host_ports
-                )
+            if asks_full_list:
+                list_update = as_full(list_update)
             self._counters.lists += 1
             self._availability_unknown = False
+            if self._shared_count != shared_before and list_update.generation < self._newest_shared:
+                return None  # Another process has had a later list while this call was under way.
             if call_kind is not CallKind.FULL_LIST:
                 self._watch_answer_count += 1
             elif watch_answers_before != self._watch_answer_count:
@@ -386,9 +442,11 @@
         return None
 
     async def _get_list(self, connection: "_DiscoveryConnection", call_kind: CallKind) -> ListUpdate:
+        base_generation = None if call_kind is CallKind.FULL_LIST else self._generation
         response = await self._get_with_retry(connection, call_kind)
         if response.status != 200:
             raise ConnectionLostError(f"answered {response.status}")
+        self.on_answer(SharedList(format_host_port(self.primary), base_generation, response.body))
         return discovery.parse_list(response.body, self._names)
 
     async def _get_with_retry(
--- a/larkcrank/routing/driver.py
+++ b/larkcrank/routing/driver.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
+from functools import partial
 from typing import Protocol
 
 from larkcrank.core.interface import (
@@ -128,6 +129,7 @@
         attempt_executor.on_client_gone = self.handle_client_gone
         attempt_executor.on_probe_result = self._probe_ended
         discovery.on_list = self.receive_list
+        discovery.on_shared_list = partial(self.receive_list, source=ListSource.PROCESS)
         discovery.on_failure = self._discovery_failed
 
     # Interface of the client side
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -8,8 +8,8 @@
 import pytest
 
 from larkcrank.program import handover
-from larkcrank.protocol import claims
-from larkcrank.protocol.claims import ClaimKind, ClaimMessage
+from larkcrank.protocol import process_messages
+from larkcrank.protocol.process_messages import MessageKind, MessageParser, id_message
 from larkcrank.routing.request_ids import ENTRY_BYTES, RequestIds
 from larkcrank.transport.memory import MemoryAccount
 from tests import bed as b
@@ -53,9 +53,9 @@
 
 
 def test_messages_are_parsed_however_they_are_split() -> None:
-    messages = [ClaimMessage(kind, kind.value, "id" * kind.value) for kind in ClaimKind]
-    text = b"".join(map(claims.encode, messages))
-    parser = claims.ClaimParser()
+    messages = [id_message(kind, "id" * kind.value, kind.value) for kind in MessageKind]
+    text = b"".join(map(process_messages.encode, messages))
+    parser = MessageParser()
     assert [message for byte in text for message in parser.feed(bytes((byte,)))] == messages
     with pytest.raises(ValueError, match="9"):
         parser.feed(b"\x09" + bytes(6))
--- a/tests/upgrade_bed.py
+++ b/tests/upgrade_bed.py
@@ -30,6 +30,7 @@
 DEADLINE_MS = 300.0
 CLIENTS = 6
 CLIENT_PAUSE_S = 0.01
+REQUESTS_PER_CONNECTION = 10
 CLASSES: list[dict[str, Any]] = [
     {"aim-ms": 200.0, "deadline-ms": DEADLINE_MS, "effect": "retryable", "name": "view", "points": 2.0},
     {"aim-ms": 200.0, "deadline-ms": DEADLINE_MS, "effect": "fragile", "name": "take", "points": 2.0},
@@ -189,9 +190,13 @@
         (self.folder / "config.json").write_text(json.dumps(config))
 
     async def run_client(self) -> None:
-        """Send one request after another on a kept connection, whatever becomes of them."""
+        """Send one request after another, on a new connection from time to time, so that all processes that
+        accept get some.
+        """
         client: b.Client | None = None
+        request_count = 0
         while not self.is_ending:
+            request_count += 1
             try:
                 if client is None:
                     client = b.Client(*await asyncio.open_connection(*self.passed_socket.getsockname()))
@@ -199,7 +204,7 @@
                 async with asyncio.timeout(5.0):
                     answer = await client.read_response()
                 self.answered += answer.status == 200
-                keeps = answer.keep_alive
+                keeps = answer.keep_alive and request_count % REQUESTS_PER_CONNECTION != 0
             except (OSError, TimeoutError):
                 keeps = False
             if not keeps and client is not None:
@@ -238,6 +243,7 @@
             discovery.stop()
             for endpoint in running.endpoints:
                 await endpoint.stop()
+            await b.abort_open_transports()
 
 
 async def play_drain_told_to_old_process(
@@ -265,6 +271,39 @@
         return running.late_arrivals("s-0", told_at)
 
 
+async def play_drain_told_to_new_process(process_count: int = 2, teller: int = -1) -> list[float]:
+    """Run several processes, of which discovery tells only one of a drain. Return the late sends."""
+    async with bed() as running:
+        watches = running.discovery.watching()
+        for _ in range(process_count - 1):
+            known = set(running.discovery.watching())
+            await running.start_process()
+            async with asyncio.timeout(10.0):
+                await b.until(lambda known=known: bool(set(running.discovery.watching()) - known))  # type: ignore[misc]
+            watches += set(running.discovery.watching()) - known
+        await asyncio.sleep(0.3)
+        running.discovery.change("s-0", "Terminating")
+        running.discovery.tell(watches[teller], "s-0")
+        told_at = time.monotonic()
+        await asyncio.sleep(GRACE_S + 1.0)
+        return running.late_arrivals("s-0", told_at)
+
+
+async def play_reload_of_one_process(reloaded: int) -> list[float]:
+    """Run two processes, of which one gets SIGHUP with another discovery, which drains an endpoint."""
+    async with bed() as running:
+        await running.start_process()
+        other = Discovery(dict(running.discovery.entries), generation=7)
+        other.entries["s-0"] = other.entries["s-0"] | {"lifecycle": "Terminating"}
+        await other.start()
+        running.write_config(other.port)
+        running.processes[reloaded].send_signal(signal.SIGHUP)
+        told_at = time.monotonic()
+        await asyncio.sleep(GRACE_S + 1.0)
+        other.stop()
+        return running.late_arrivals("s-0", told_at)
+
+
 async def main() -> None:
     for failure in Failure:
         for told_after_term_s in (-0.3, 0.5, 0.99):
