After a stall, what arrived in time is handled before a deadline is acted on

Cause: after a stall the event loop runs due timers before the tasks that read. Three of a request's timers did so: the balancer's give-up 2 ticks before the deadline, the attempt's timeout and the driver's overdue timer.

Now a timer that fires over 5 ms late leaves 20 ms for what has arrived; the overdue timer, the last resort, 10 ms more. A give-up with nothing in flight is not delayed.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -159,6 +159,12 @@
 MIN_UNLISTED_KEPT = 16  # unlisted servers kept: at least this many, or as many as are listed
 
 
+# After a stall of the process, seen by a timer that is this late, a request with an attempt in flight is
+# given up only after this grace, in which what arrived meanwhile is handled.
+STALL_MS = 5.0
+INPUT_GRACE_MS = 20.0
+
+
 def record_send_result(
     limiter: RateLimiter,
     now: float,
@@ -391,7 +397,10 @@
             due_at, _, kind, subject = heapq.heappop(self._timers)
             if isinstance(subject, PendingRequest) and self._requests.get(subject.id) is subject:
                 expires_at = subject.latest_send_at if subject.waits_for_turn else subject.give_up_at
-                if due_at >= expires_at and not (subject.uploading and subject.in_flight):
+                if subject.in_flight and due_at < self._now - STALL_MS:
+                    # An answer may have arrived during the stall and not been handled yet.
+                    self._schedule(self._now + INPUT_GRACE_MS, kind, subject)
+                elif due_at >= expires_at and not (subject.uploading and subject.in_flight):
                     self._give_up(subject)
             elif isinstance(subject, tuple) and (attempt := self._owed_attempts.get(subject)) is not None:
                 # If this process is late with the timer, an answer may have arrived and not been handled yet.
--- a/larkcrank/routing/driver.py
+++ b/larkcrank/routing/driver.py
@@ -38,6 +38,7 @@
 from larkcrank.protocol import platform
 from larkcrank.protocol.discovery import ListUpdate
 from larkcrank.routing.attempt import Attempt
+from larkcrank.routing.deadline_timer import DeadlineTimer
 from larkcrank.routing.discovery import DiscoveryClient
 from larkcrank.routing.exchange import Exchange
 from larkcrank.routing.servers import AttemptExecutor
@@ -45,6 +46,7 @@
 
 # Fraction of the grace period after the deadline at which a request that is still open is failed.
 OVERDUE_GRACE_FRACTION = 0.5
+LAST_RESORT_S = 0.01  # after a stall, such a request is failed so much later than the balancer gives it up
 
 
 class ListSource(Enum):
@@ -120,7 +122,7 @@
         self._pending_events: deque[Event] = deque()
         self._is_handling = False
         self._open_exchanges: dict[int, Exchange] = {}
-        self._overdue_timers: dict[int, asyncio.TimerHandle] = {}
+        self._overdue_timers: dict[int, DeadlineTimer] = {}
         self._balancer_timer: asyncio.TimerHandle | None = None
         self._last_request_id = 0
         self._discovery_down = False  # Whether the last call to discovery failed.
@@ -188,8 +190,9 @@
 
     def _start_overdue_timer(self, exchange: Exchange) -> float:
         time_left_ms = exchange.deadline - self._clock()
-        self._overdue_timers[exchange.id] = self._loop.call_later(
-            (time_left_ms + self._overdue_delay_ms) / 1000.0, self._fail_overdue, exchange
+        delay_s = (time_left_ms + self._overdue_delay_ms) / 1000.0
+        self._overdue_timers[exchange.id] = DeadlineTimer(
+            self._attempt_executor.input_grace, delay_s, partial(self._fail_overdue, exchange), LAST_RESORT_S
         )
         return time_left_ms
 
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 import msgspec
@@ -12,6 +13,7 @@
 from larkcrank.protocol.discovery import ListUpdate
 from larkcrank.routing.attempt import Attempt
 from larkcrank.routing.connections import AttemptConnections, ConnectionCounters
+from larkcrank.routing.deadline_timer import DeadlineTimer, InputGrace
 from larkcrank.routing.exchange import Exchange, Upload, UploadEndedError, UploadReader
 from larkcrank.routing.probes import ProbeCounters, Prober
 from larkcrank.routing.relay import RelayCounters, StreamRelay
@@ -109,6 +111,7 @@
         self._attempts: dict[tuple[int, int], Attempt] = {}  # By request id and attempt index.
         self._tasks: set[asyncio.Task[None]] = set()
         self.recent_attempts = RecentAttempts()
+        self.input_grace = InputGrace()
         self.on_outcome: Callable[[Attempt, Result, tuple[float, ...]], None] = lambda *_: None
         self.on_stream_started: Callable[[Attempt], None] = lambda _: None
         self.on_client_gone: Callable[[Exchange], None] = lambda _: None
@@ -209,7 +212,7 @@
     def _start_timeout(self, attempt: Attempt, stop_at_ms: float) -> None:
         attempt.stops_at_ms = stop_at_ms
         wait_s = max(stop_at_ms - self._clock(), 0.0) / 1000.0
-        attempt.timer = self._loop.call_later(wait_s, self._attempt_timed_out, attempt)
+        attempt.timer = DeadlineTimer(self.input_grace, wait_s, partial(self._attempt_timed_out, attempt))
 
     def cancel(self, request_id: int, attempt_index: int) -> None:
         """Cancel an attempt, if it has not ended yet."""
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -150,7 +150,7 @@
         (outcome,) = harness.balancer.events_of(api.Outcome)
         assert isinstance(outcome, api.Outcome)
         assert (outcome.result, outcome.request_answered) == (api.Result.NOT_SENT, False)
-        assert exchange.closed and harness.logged_events() == ["decision"]
+        assert exchange.closed and harness.logged_events() == ["decision", "request_failed"]
 
     testbed.run(scenario())
 
--- /dev/null
+++ b/tests/test_stalls.py
@@ -0,0 +1,55 @@
+"""After a stall of the process, what arrived in time is handled before any deadline is acted on."""
+
+import asyncio
+import socket
+import time
+
+import pytest
+
+from larkcrank.routing.deadline_timer import STALL_S, DeadlineTimer, InputGrace
+from tests import bed as b
+from tests import hostile_bed, stall_plays
+from tests.hostile_answers import Lumps
+
+
+@pytest.mark.parametrize("stall_s", [0.0, 4 * STALL_S])
+def test_input_of_a_stall_is_handled_before_deadlines_in_it(stall_s: float) -> None:
+    async def work() -> None:
+        events: list[str] = []
+        ours, theirs = socket.socketpair()
+        reader, writer = await asyncio.open_connection(sock=ours)
+        grace = InputGrace()
+        due_s = 0.01
+        DeadlineTimer(grace, due_s, lambda: events.append("deadline"))
+        DeadlineTimer(grace, due_s + stall_s, lambda: events.append("last resort"), last_resort_s=0.005)
+
+        async def read() -> None:
+            for _ in range(3):
+                await reader.readexactly(1)
+                await asyncio.sleep(0)
+            events.append("answer")
+
+        reading = asyncio.create_task(read())
+        await asyncio.sleep(0)
+        if stall_s:
+            theirs.sendall(b"abc")
+            time.sleep(due_s + stall_s)
+        await b.until(lambda: len(events) >= 2 + bool(stall_s))
+        assert events[-2:] == ["deadline", "last resort"]
+        assert (events[0] == "answer") == bool(stall_s)
+        reading.cancel()
+        writer.close()
+        theirs.close()
+
+    b.run(work())
+
+
+@pytest.mark.parametrize("lumps", [Lumps("close", 100_000, 2.4), Lumps("chunked", 100_000, 2.4)])
+def test_a_slow_answer_is_not_cut_where_the_process_is_stopped_at_its_deadline(lumps: Lumps) -> None:
+    async def work() -> None:
+        async with hostile_bed.stage() as stage:
+            for _ in range(2):
+                for answer in await stall_plays.ask_with_a_stop_at_the_deadline(stage, lumps):
+                    assert (answer.status, answer.is_whole) == (200, True)
+
+    asyncio.run(work())
