A stall is noticed by the clock's heartbeat, so that every deadline in it leaves time for input

Traced on a scratch copy: the balancer's timer was 14 ms late and waited, the attempt's, due later in the same stall, was 4.7 ms late, under the 5 ms that tell a stall, and fired before what had arrived was read.

Now the heartbeat of the clock, due early in any stall over 25 ms, tells of it: deadline timers share the time left for input, and the balancer gets an event of its own (`StallEnded`), which simulated time never sends.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -39,6 +39,7 @@
     ServerList,
     SetTimer,
     Settings,
+    StallEnded,
     State,
     StreamStarted,
     TimerFired,
@@ -243,6 +244,7 @@
         # the request id and attempt index of "overdue", the ordering key of "rest", and None otherwise.
         self._timers: list[tuple[float, int, str, object]] = []
         self._timer_sequence, self._timer_at, self._timer_token = 0, math.inf, 0
+        self._input_grace_until = -math.inf  # after a stall, until what arrived meanwhile is handled
         # The following lists have one element per class.
         self._usual_ms = [
             request_class.aim_ms * INITIAL_USUAL_AIM_SHARE for request_class in settings.classes
@@ -337,6 +339,8 @@
                 self._rebuild_ring()
             case TimerFired() if event.token == self._timer_token:
                 self._timer_at = math.inf
+            case StallEnded():
+                self._begin_input_grace()
         self._run_due_timers()
         self._release_ready_keys()
         self._send_queued()
@@ -397,9 +401,11 @@
             due_at, _, kind, subject = heapq.heappop(self._timers)
             if isinstance(subject, PendingRequest) and self._requests.get(subject.id) is subject:
                 expires_at = subject.latest_send_at if subject.waits_for_turn else subject.give_up_at
-                if subject.in_flight and due_at < self._now - STALL_MS:
+                if due_at < self._now - STALL_MS:
+                    self._begin_input_grace()
+                if subject.in_flight and self._now < self._input_grace_until:
                     # An answer may have arrived during the stall and not been handled yet.
-                    self._schedule(self._now + INPUT_GRACE_MS, kind, subject)
+                    self._schedule(self._input_grace_until, kind, subject)
                 elif due_at >= expires_at and not (subject.uploading and subject.in_flight):
                     self._give_up(subject)
             elif isinstance(subject, tuple) and (attempt := self._owed_attempts.get(subject)) is not None:
@@ -416,6 +422,9 @@
                 self._actions.append(Watch())
                 self._schedule_discovery_call(DISCOVERY_RETRY_MS[2], True)
 
+    def _begin_input_grace(self) -> None:
+        self._input_grace_until = self._now + INPUT_GRACE_MS
+
     def _update_estimates(self) -> None:
         """Derive the window, the even rate per server, the observation period and the in-flight limits from
         this instance's traffic."""
--- a/larkcrank/core/interface.py
+++ b/larkcrank/core/interface.py
@@ -222,6 +222,11 @@
     token: int  # the token of that action
 
 
+@dataclass(slots=True, frozen=True)
+class StallEnded:
+    """The process got no processor time for a while. What arrived meanwhile may not have been handled yet."""
+
+
 @dataclass(slots=True, frozen=True)
 class ProbeResult:
     """A probe of a server has ended."""
@@ -260,6 +265,7 @@
     | ServerList
     | DiscoveryFailed
     | TimerFired
+    | StallEnded
     | ProbeResult
     | PeerMessage
     | FleetSize
--- a/larkcrank/program/clock.py
+++ b/larkcrank/program/clock.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 HEARTBEAT_MS = 20.0  # between two heartbeats
+STALL_MS = 5.0  # a heartbeat that is so late shows that the process got no processor time
 # A smaller difference between the wall clock and the process clock is no step.
 MIN_STEP_MS = 1000.0
 
@@ -17,6 +19,7 @@
     def __init__(self) -> None:
         self._offset_ms = time.time() * 1000.0 - time.monotonic() * 1000.0
         self._heartbeat_at = self()
+        self.on_stall: Callable[[], None] = lambda: None  # called at the first heartbeat after a stall
 
     def __call__(self) -> float:
         return self._offset_ms + time.monotonic() * 1000.0
@@ -36,7 +39,13 @@
     def start_heartbeat(self) -> None:
         """Record the present time as a heartbeat, and repeat this every HEARTBEAT_MS."""
         self._heartbeat_at = self()
-        asyncio.get_running_loop().call_later(HEARTBEAT_MS / 1000.0, self.start_heartbeat)
+        asyncio.get_running_loop().call_later(HEARTBEAT_MS / 1000.0, self._beat)
+
+    def _beat(self) -> None:
+        is_late = self() - self._heartbeat_at > HEARTBEAT_MS + STALL_MS
+        self.start_heartbeat()
+        if is_late:
+            self.on_stall()
 
     def earliest_arrival(self) -> float:
         """Return the earliest time at which data that is read now can have arrived.
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -114,6 +114,7 @@
             log,
             self._clock.from_unix,
         )
+        self._clock.on_stall = self._driver.handle_stall
         self.lifecycle = Lifecycle()
         self.lifecycle.on_change = self._on_phase_change
         self.clients = ClientConnections(
--- a/larkcrank/routing/deadline_timer.py
+++ b/larkcrank/routing/deadline_timer.py
@@ -13,10 +13,14 @@
     def __init__(self) -> None:
         self._ends_at = 0.0
 
+    def begin(self, now: float) -> None:
+        """Record that a stall has just ended. Times are on the event loop's clock in seconds."""
+        self._ends_at = now + INPUT_GRACE_S
+
     def delay_s(self, now: float, due_at: float) -> float:
         """Return for how long a timer that was due at `due_at` has to wait, in seconds; 0 if it may fire."""
         if now - due_at > STALL_S:
-            self._ends_at = now + INPUT_GRACE_S
+            self.begin(now)
         return max(self._ends_at - now, 0.0)
 
 
--- a/larkcrank/routing/driver.py
+++ b/larkcrank/routing/driver.py
@@ -29,6 +29,7 @@
     Send,
     ServerList,
     SetTimer,
+    StallEnded,
     StreamStarted,
     Tell,
     TimerFired,
@@ -188,6 +189,11 @@
         if self._open_exchanges.get(exchange.id) is exchange:  # it has no attempt, or one that is written
             self.complete_upload(exchange)
 
+    def handle_stall(self) -> None:
+        """Leave time for what arrived while the process got no processor time, before deadlines count."""
+        self._attempt_executor.input_grace.begin(self._loop.time())
+        self.dispatch(StallEnded())
+
     def _start_overdue_timer(self, exchange: Exchange) -> float:
         time_left_ms = exchange.deadline - self._clock()
         delay_s = (time_left_ms + self._overdue_delay_ms) / 1000.0
