--- a/tests/hostile_bed.py
+++ b/tests/hostile_bed.py
@@ -148,6 +148,19 @@
         self.port = int(ready["listen"].rsplit(":", 1)[1])
         return process
 
+    async def reload(self) -> None:
+        """Let the process that was started last read its configuration again."""
+        (self.folder / "config.json").write_text(json.dumps(self.config))
+        self.processes[-1].send_signal(signal.SIGHUP)
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while self.find_event("reloaded") is None:
+                await asyncio.sleep(0.02)
+
+    def entries(self) -> list[dict[str, Any]]:
+        """Return the server list's entries as the configuration has them."""
+        entries: list[dict[str, Any]] = self.config["known"]["instances"]
+        return entries
+
     def log_path(self, number: int = -1) -> Path:
         """Return the log of a process; by default of the one that was started last."""
         return self.folder / f"log-{number % len(self.processes)}"
--- a/tests/hostile_soak.py
+++ b/tests/hostile_soak.py
@@ -10,7 +10,7 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 
@@ -58,6 +58,7 @@
     served: int = 0
     asked: int = 0
     figures: str = ""
+    details: list[str] = field(default_factory=list)  # of what was broken
 
 
 @dataclass
@@ -66,6 +67,7 @@
 
     stage: bed.Stage
     rng: Random
+    targets: Sequence[str] = TARGETS
     answers: list[tuple[str, Answer]] = field(default_factory=list)
     new_connections_until: float = math.inf
     _streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
@@ -74,7 +76,7 @@
         """Ask until it is cancelled, or no connection can be had any more."""
         with contextlib.suppress(ConnectionRefusedError):
             while True:
-                target = self.rng.choice(TARGETS)
+                target = self.rng.choice(self.targets)
                 answer = Answer(bed.new_id(), time.monotonic())
                 if not await self._ask(target, answer) and not await self._ask(target, answer):
                     answer.ended_at = time.monotonic()
@@ -198,7 +200,9 @@
         outcome.breaches["crash"] += 1
 
 
-async def play_all(first: int, count: int, at_once: int) -> list[Outcome]:
+async def play_all(
+    first: int, count: int, at_once: int, play: Callable[[int], Awaitable[Outcome]] = play
+) -> list[Outcome]:
     """Play `count` seeds and print each outcome."""
     places = asyncio.Semaphore(at_once)
 
@@ -208,6 +212,7 @@
         print(
             f"{seed}: {outcome.description}: {dict(outcome.breaches)} "
             f"{outcome.served} of {outcome.asked} served, {outcome.figures}",
+            *outcome.details,
             flush=True,
         )
         return outcome
