A request that is unfinished when its process ends gets an answer

Cause: a request has no deadline before its last byte, so the deadline that a shutdown sets did not reach it. Now, at the time by which all requests end, uploads are finished like those whose time is up, and requests that have not arrived whole are refused.

--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -543,6 +543,9 @@
             # The sleep comes first, so that requests on the connections accepted last are read.
             await asyncio.sleep(POLL_INTERVAL_S)
             self.clients.close_idle(min_idle_s)
+            if self._clock() >= self.lifecycle.latest_deadline:
+                self._driver.expire_unfinished_uploads()
+                self.clients.refuse_partial_requests()
             if loop.time() - started_at > (answer_limit_ms + ABORT_MARGIN_MS - ANSWER_MARGIN_MS) / 1000.0:
                 self.clients.abort_all()
         self.close()
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -171,6 +171,15 @@
                 session.close(ClientCloseReason.SHUTDOWN)
         return sum(not session.connection.closed for session in self._sessions.values())
 
+    def refuse_partial_requests(self) -> None:
+        """Refuse the requests that have not arrived whole and are not forwarded yet, and close them."""
+        for session in list(self._sessions.values()):
+            if session.parser.has_partial_request and not (session.has_active_request or session.lingering):
+                session.close_reason = ClientCloseReason.SHUTDOWN
+                session.connection.write_and_close(
+                    http1.encode_response(503, self._retry_after_lines(), b"shutting down", close=True)
+                )
+
     def abort_all(self) -> None:
         """Abort every connection. A client can tell that a response cut off this way is incomplete."""
         for session in self._sessions.values():
--- a/larkcrank/routing/driver.py
+++ b/larkcrank/routing/driver.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
@@ -189,6 +190,13 @@
         if self._open_exchanges.get(exchange.id) is exchange:  # it has no attempt, or one that is written
             self.complete_upload(exchange)
 
+    def expire_unfinished_uploads(self) -> None:
+        """Finish the requests whose bodies are still arriving, since the process exits soon."""
+        for exchange in list(self._open_exchanges.values()):
+            if exchange.deadline == math.inf:
+                exchange.deadline = self._clock()
+                self.expire_upload(exchange)
+
     def handle_stall(self) -> None:
         """Leave time for what arrived while the process got no processor time, before deadlines count."""
         self._attempt_executor.input_grace.begin(self._loop.time())
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -125,3 +125,21 @@
             assert bed.sidecar.counters.uploads_expired == 1
 
     b.run(work())
+
+
+@pytest.mark.parametrize("is_chunked", [True, False])
+def test_an_upload_that_is_unfinished_when_its_process_ends_gets_an_answer(is_chunked: bool) -> None:
+    upload = Upload("/reserve/1", 400_000, is_chunked, seconds=20.0, deadline_s=1.0)
+
+    async def work() -> None:
+        grades = [grade | {"deadline-ms": 300.0, "aim-ms": 200.0} for grade in hostile_bed.CLASSES]
+        async with hostile_bed.stage(grades=grades) as stage:
+            stage.is_honest_client_paused = True
+            sending = asyncio.create_task(upload_plays.send(stage.port, upload, wait_s=0.0))
+            await asyncio.sleep(0.5)
+            stage.processes[-1].terminate()
+            answer = await sending
+            assert (answer.status, answer.is_whole) == (503, True)
+            assert not stage.runs()
+
+    asyncio.run(work())
--- a/tests/upgrade_bed.py
+++ b/tests/upgrade_bed.py
@@ -45,6 +45,21 @@
     UNAVAILABLE = "503"
 
 
+@dataclass(eq=False)
+class Watch:
+    """A call to discovery that waits for news."""
+
+    connection: int
+    reader: b.Reader
+    told: asyncio.Event = field(default_factory=asyncio.Event)
+    answer: bytes = b""
+
+    @property
+    def is_open(self) -> bool:
+        """Whether its process still waits."""
+        return not self.reader.at_eof() and self.reader.exception() is None
+
+
 @dataclass
 class Discovery:
     """A discovery service that answers some connections and fails the calls on others.
@@ -56,7 +71,7 @@
     generation: int = 40
     port: int = 0
     failure: Failure | None = None  # of connections that are opened from now on
-    _watches: list[tuple[int, asyncio.Event, list[bytes]]] = field(default_factory=list)
+    _watches: list["Watch"] = field(default_factory=list)
     _server: asyncio.Server | None = None
     _connections: int = 0
 
@@ -75,14 +90,14 @@
 
     def watching(self) -> list[int]:
         """Return the numbers of the connections on which a watch is open, the oldest first."""
-        return [number for number, _, _ in self._watches]
+        return [watch.connection for watch in self._watches if watch.is_open]
 
     def tell(self, connection: int, *names: str) -> None:
         """Tell one watch of the entries with these names. The generation is that of the last `change`."""
-        for number, told, answer in self._watches:
-            if number == connection:
-                answer.append(self.encode([self.entries[name] for name in names], is_full=False))
-                told.set()
+        for watch in self._watches:
+            if watch.connection == connection:
+                watch.answer = self.encode([self.entries[name] for name in names], is_full=False)
+                watch.told.set()
 
     def change(self, name: str, lifecycle: str) -> None:
         """Change an entry, which nobody is told of yet."""
@@ -103,24 +118,23 @@
                 elif failure is Failure.UNAVAILABLE:
                     writer.write(http1.encode_response(503, (), b""))
                 else:
-                    writer.write(http1.encode_response(200, (), await self._answer(number, request.target)))
+                    body = await self._answer(Watch(number, reader), request.target)
+                    writer.write(http1.encode_response(200, (), body))
         writer.close()
 
-    async def _answer(self, number: int, target: bytes) -> bytes:
+    async def _answer(self, watch: Watch, target: bytes) -> bytes:
         if b"after=%d&" % self.generation not in target:
             return self.encode(list(self.entries.values()), is_full=True)
-        told, answer = asyncio.Event(), list[bytes]()
-        watch = number, told, answer
         self._watches.append(watch)
         wait_s = int(target.rpartition(b"wait_ms=")[2]) / 1000.0
         try:
             async with asyncio.timeout(wait_s):
-                await told.wait()
+                await watch.told.wait()
         except TimeoutError:
             return self.encode([], is_full=False)
         finally:
             self._watches.remove(watch)
-        return answer[0]
+        return watch.answer
 
 
 @dataclass
