Writing responses and idle connections of clients have modules of their own

No behaviour is changed.

Measured: 270 tests of clients, uploads, memory, hostile clients, long bodies and scale pass.

--- a/larkcrank/lab/scale/stamped.py
+++ b/larkcrank/lab/scale/stamped.py
@@ -70,9 +70,9 @@
     """Wraps the functions of the program that mark the stages of a request."""
 
     from larkcrank.protocol import http1, platform
-    from larkcrank.routing.clients import ClientConnections
     from larkcrank.routing.driver import Driver
     from larkcrank.routing.exchange import Exchange
+    from larkcrank.routing.response_writer import ResponseWriter
     from larkcrank.routing.servers import AttemptExecutor
 
     def request_id(request: http1.Request) -> str:
@@ -108,19 +108,17 @@
         AttemptExecutor, "_mark_written", lambda _, attempt: _record(attempt.exchange.call_info.id, "written")
     )
     _wrap_method(Exchange, "respond", record_response)
-    write_response: Any = ClientConnections._write_buffered_response
+    write_response: Any = ResponseWriter.write_buffered
 
-    async def write_response_recorded(
-        clients: Any, connection: Any, request: http1.Request, *rest: Any
-    ) -> bool:
+    async def write_response_recorded(writer: Any, session: Any, request: http1.Request, *rest: Any) -> bool:
         name = _ids_in_hand.pop(id(request), "")  # its header is freed once it is answered
         _record(name, "replying")
-        keeps_connection: bool = await write_response(clients, connection, request, *rest)
+        keeps_connection: bool = await write_response(writer, session, request, *rest)
         _record(name, "replied")
         _record(name, QUEUE_WAIT, (int(os.pread(_schedstat_fd, 64, 0).split()[1]) / 1e9, 0.0))
         return keeps_connection
 
-    setattr(ClientConnections, "_write_buffered_response", write_response_recorded)  # noqa: B010
+    setattr(ResponseWriter, "write_buffered", write_response_recorded)  # noqa: B010
 
 
 def main() -> int:
--- a/larkcrank/routing/clients.py
+++ b/larkcrank/routing/clients.py
@@ -1,8 +1,6 @@
 """The client side: reads requests from the application's connections and writes responses to them."""
 
 import asyncio
-import math
-from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from contextlib import AbstractContextManager
 from enum import Enum
@@ -12,9 +10,11 @@
 from larkcrank.core.interface import Effect, Settings
 from larkcrank.protocol import http1, platform
 from larkcrank.routing.exchange import BufferedResponse, Exchange, StreamedResponse, Upload
+from larkcrank.routing.idle_sessions import IdleSessions
 from larkcrank.routing.life import Lifecycle
 from larkcrank.routing.request_check import RequestCheck
 from larkcrank.routing.request_ids import RequestIds
+from larkcrank.routing.response_writer import ClientStoppedReadingError, ResponseWriter
 from larkcrank.routing.sessions import ClientSession
 from larkcrank.routing.upload_receiver import PauseCounters, UploadHandler, UploadReceiver, read_size_for
 from larkcrank.transport.closewatch import CloseWatcher
@@ -33,12 +33,9 @@
 # is accepted. After the head, `sessions.REQUEST_PROGRESS_BYTES` of the body, or its end, must arrive within
 # each further interval of this length. Time during which reading from the client is paused does not count.
 REQUEST_PROGRESS_TIMEOUT_S = 2.4
-# A client that has read nothing of a long response for this time is disconnected.
-CLIENT_WRITE_TIMEOUT_S = 20.0
 # How long the rest of a body is read and dropped after an early response. A client may read the response only
 # after it has written the whole body.
 DISCARD_BODY_TIMEOUT_S = 10.0
-MIN_IDLE_BEFORE_EVICTION_S = 0.2  # Idle time after which a connection may be closed to free its descriptor.
 # Idle time for which a connection that has had a response stays open, unless descriptors run out.
 MIN_KEEPALIVE_S = 2.0
 # Fraction of the clients' descriptors in use below which idle connections are not closed, since they cost
@@ -68,10 +65,6 @@
         self.reason = reason
 
 
-class _ClientStoppedReadingError(ConnectionLostError):
-    """The client has not read any of its response for too long."""
-
-
 class RequestHandler(UploadHandler, Protocol):
     """The interface to which the client side passes requests."""
 
@@ -119,11 +112,7 @@
             min(settings.max_retry_after_ms, RETRY_AFTER_MS) if settings.retry_after else 0.0
         )
         self._sessions: dict[Connection, ClientSession] = {}
-        # Idle sessions that have not had a response yet, the longest idle first, so that finding one to close
-        # needs no search.
-        self._idle_unserved: OrderedDict[ClientSession, None] = OrderedDict()
-        # Sessions that are idle after at least one response, in the same order.
-        self._idle_served: OrderedDict[ClientSession, None] = OrderedDict()
+        self._idle = IdleSessions()
         self.request_ids = RequestIds(memory, _longest_effect_s(settings))
         # Asks another process of this sidecar whether an id may be taken; None if there is none. Raises
         # `TimeoutError` if that process does not answer.
@@ -137,11 +126,12 @@
             self._close_watch,
             counters,
         )
+        self._writer = ResponseWriter(lifecycle, descriptors, memory)
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._descriptors = descriptors
         self._memory = memory
         self._max_body = max_body
-        descriptors.register_evictor(SocketUse.CLIENT, self._evict_idle, self._longest_idle_since)
+        descriptors.register_evictor(SocketUse.CLIENT, self._idle.evict, self._idle.longest_idle_since)
 
     @property
     def open_count(self) -> int:
@@ -188,43 +178,6 @@
             if session.task is not None:
                 session.task.cancel()
 
-    def _evict_idle(self, reason: ClientCloseReason = ClientCloseReason.EVICTED) -> bool:
-        """Close one idle connection, preferring those that were never served, if it has been idle for the
-        minimum time. Returns whether one was closed.
-        """
-        idle_since = asyncio.get_running_loop().time() - MIN_IDLE_BEFORE_EVICTION_S
-        return any(
-            self._close_longest_idle(idle_sessions, idle_since, reason)
-            for idle_sessions in (self._idle_unserved, self._idle_served)
-        )
-
-    def _longest_idle_since(self) -> float:
-        """Return since when the longest idle connection has been idle, or infinity if none is idle."""
-        return min(
-            (
-                next(iter(idle_sessions)).last_progress_at
-                for idle_sessions in (self._idle_unserved, self._idle_served)
-                if idle_sessions
-            ),
-            default=math.inf,
-        )
-
-    @staticmethod
-    def _close_longest_idle(
-        idle_sessions: "OrderedDict[ClientSession, None]", idle_since: float, reason: ClientCloseReason
-    ) -> bool:
-        """Close the longest idle connection if it has been idle since `idle_since` or earlier."""
-        while idle_sessions and (session := next(iter(idle_sessions))).last_progress_at <= idle_since:
-            # Removed even if it is not closed: then it has unread data and is about to become active.
-            del idle_sessions[session]
-            if session.lingering:
-                session.connection.close()
-                return True
-            if session.connection.is_idle():
-                session.close(reason)
-                return True
-        return False
-
     def _sweep(self) -> None:
         """Close connections that stay silent or leave a request incomplete for too long, so that a flood of
         such clients cannot use up the descriptors.
@@ -234,7 +187,7 @@
             if (
                 (session.has_active_request and not session.is_body_due)
                 or session.lingering
-                or session in self._idle_served
+                or self._idle.is_served(session)
             ):
                 continue
             if now - session.last_progress_at < REQUEST_PROGRESS_TIMEOUT_S:
@@ -257,26 +210,18 @@
         idle_since, reason = now - MIN_KEEPALIVE_S, ClientCloseReason.IDLE_TIME
         while self._descriptors.used_share(
             SocketUse.CLIENT
-        ) > IDLE_CLOSE_THRESHOLD and self._close_longest_idle(self._idle_served, idle_since, reason):
+        ) > IDLE_CLOSE_THRESHOLD and self._idle.close_served_since(idle_since, reason):
             pass
-        while self._memory.pressure >= Pressure.HIGH and self._evict_idle(ClientCloseReason.MEMORY):
+        while self._memory.pressure >= Pressure.HIGH and self._idle.evict(ClientCloseReason.MEMORY):
             pass
 
-    def _mark_idle(self, session: ClientSession) -> None:
-        """Mark a connection as idle until something is read from it."""
-        (self._idle_served if session.has_served else self._idle_unserved)[session] = None
-
-    def _mark_active(self, session: ClientSession) -> None:
-        self._idle_served.pop(session, None)
-        self._idle_unserved.pop(session, None)
-
     async def _serve(self, session: ClientSession) -> None:
         connection = session.connection
         try:
             try:
                 await self._serve_requests(session)
                 return
-            except _ClientStoppedReadingError:
+            except ClientStoppedReadingError:
                 session.close_reason = ClientCloseReason.STOPPED_READING
                 return
             except http1.MessageError as error:
@@ -297,7 +242,7 @@
             connection.close()
             self._counters.close_client(session.close_reason)
             session.release_memory()
-            self._mark_active(session)
+            self._idle.remove(session)
             self._sessions.pop(connection, None)
 
     async def _serve_requests(self, session: ClientSession) -> None:
@@ -327,9 +272,9 @@
             if parser.has_partial_request:
                 await self._read_some(session)
                 continue
-            self._mark_idle(session)
+            self._idle.add(session)
             await self._read_some(session)
-            self._mark_active(session)
+            self._idle.remove(session)
             if session.has_served:
                 session.last_progress_at = asyncio.get_running_loop().time()
         return request
@@ -361,7 +306,7 @@
     async def _respond(self, session: ClientSession, request: http1.Request) -> bool:
         if platform.is_ready_check(request):
             status = 200 if self._lifecycle.is_ready else 503
-            return await self._write_buffered_response(session, request, status, (), b"")
+            return await self._writer.write_buffered(session, request, status, (), b"")
         # An invalid request raises MessageError, which closes the connection.
         exchange = self._request_check.create_exchange(request, session, self.request_ids)
         if (reason := self._reason_to_turn_away(session, request)) is not None:
@@ -408,7 +353,7 @@
             raise _RefusedError(reason)
         self._counters.turn_away(reason)
         request.release()
-        return await self._write_buffered_response(
+        return await self._writer.write_buffered(
             session, request, 503, self._retry_after_lines(), reason.value.encode()
         )
 
@@ -435,7 +380,7 @@
             # The response closes the connection, since what the client sends next cannot be told from the
             # rest of the body.
             session.answered_early = True
-            await self._write_response(session, request, exchange, _completed_response(response_future))
+            await self._writer.write(session, request, exchange, _completed_response(response_future))
             # Some clients read the response only after they have written the whole body. Closing now would
             # discard the response before such a client reads it.
             await asyncio.wait((upload_task,), timeout=DISCARD_BODY_TIMEOUT_S)
@@ -472,101 +417,7 @@
             await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
             if pending_read.done() and not response_future.done():
                 await self._read_some(session)
-        return await self._write_response(session, request, exchange, _completed_response(response_future))
-
-    async def _write_response(
-        self,
-        session: ClientSession,
-        request: http1.Request,
-        exchange: Exchange,
-        response: BufferedResponse | StreamedResponse,
-    ) -> bool:
-        if isinstance(response, StreamedResponse):
-            return await self._write_streamed_response(session, request, exchange, response)
-        return await self._write_buffered_response(
-            session, request, response.status, response.header_lines, response.body
-        )
-
-    async def _write_buffered_response(
-        self,
-        session: ClientSession,
-        request: http1.Request,
-        status: int,
-        header_lines: tuple[bytes, ...],
-        body: bytes,
-    ) -> bool:
-        close_after = self._should_close(session, request)
-        response_text = http1.encode_response(
-            status, header_lines, body, close_after, announce_keep_alive=request.is_http10
-        )
-        # While a response is written, it is held instead of its request. Short ones are soon written.
-        if len(response_text) > SMALL_READ_BYTES:
-            session.request_memory.resize(REQUEST_BYTES + len(body) + len(response_text))
-        await self._write_bytes(session.connection, response_text)
-        return not close_after
-
-    async def _write_streamed_response(
-        self,
-        session: ClientSession,
-        request: http1.Request,
-        exchange: Exchange,
-        response: StreamedResponse,
-    ) -> bool:
-        close_after = self._should_close(session, request)
-        session.request_memory.resize(REQUEST_BYTES)
-        connection = session.connection
-        chunked = response.content_length is None and not request.is_http10
-        framing = (
-            b"" if response.content_length is None else http1.content_length_line(response.content_length)
-        )
-        if chunked:
-            framing = http1.CHUNKED_LINE
-        # HTTP/1.0 has no chunked encoding, so closing the connection marks the end of the body.
-        close_after = close_after or not framing
-        # After an early answer, the task that still reads the upload notices the end of the connection.
-        if not session.answered_early:
-            connection.start_read(SMALL_READ_BYTES).add_done_callback(
-                lambda _: connection.closed and exchange.abandon()
-            )
-        head = http1.encode_response_head(
-            response.status,
-            response.header_lines,
-            framing,
-            close_after,
-            announce_keep_alive=request.is_http10,
-        )
-        await self._write_bytes(connection, head)
-        while (part := await exchange.next_stream_part()) is not None:
-            if part:
-                text = http1.encode_chunk(part) if chunked else part
-                del part  # Not held besides its chunk while a slow client reads that.
-                await self._write_bytes(connection, text)
-        if exchange.stream_broken:
-            session.close_reason = ClientCloseReason.BROKEN_RESPONSE
-            connection.abort()  # The client can tell that the body is incomplete, whatever its framing.
-            return False
-        if chunked:
-            await self._write_bytes(connection, http1.encode_chunk(b""))
-        return not close_after
-
-    @staticmethod
-    async def _write_bytes(connection: Connection, data: bytes) -> None:
-        """Write to a client, which must take some of the data within each `CLIENT_WRITE_TIMEOUT_S`."""
-        try:
-            await connection.write_to_reader(data, CLIENT_WRITE_TIMEOUT_S)
-        except TimeoutError:
-            raise _ClientStoppedReadingError("the client stopped reading the response") from None
-
-    def _should_close(self, session: ClientSession, request: http1.Request) -> bool:
-        """Whether the connection closes after this response: the client or the lifecycle asks for it, an
-        upload was answered early, or another connection needs its descriptor or its memory.
-        """
-        must_close = (
-            self._lifecycle.closes_connections
-            or self._descriptors.has_waiters
-            or self._memory.pressure is Pressure.EXHAUSTED
-        )
-        return must_close or session.answered_early or not request.keep_alive
+        return await self._writer.write(session, request, exchange, _completed_response(response_future))
 
     def _retry_after_lines(self) -> tuple[bytes, ...]:
         return (platform.retry_after_line(self._retry_after_ms),) if self._retry_after_ms else ()
@@ -579,7 +430,7 @@
         session.parser.discard()
         session.request_memory.release()
         session.lingering, session.last_progress_at = True, asyncio.get_running_loop().time()
-        self._idle_unserved[session] = None
+        self._idle.add_lingering(session, is_first=False)
         response_text = http1.encode_response(
             503, self._retry_after_lines(), reason.value.encode(), close=True
         )
@@ -600,8 +451,7 @@
         connection = session.connection
         # Placed first, so that it is closed before other idle connections when a descriptor is needed.
         session.lingering, session.last_progress_at = True, 0.0
-        self._idle_unserved[session] = None
-        self._idle_unserved.move_to_end(session, last=False)
+        self._idle.add_lingering(session, is_first=True)
         if not session.parser.has_partial_request and connection.is_idle():
             connection.write_and_close(_error_response(error))
             return
--- a/tests/test_full_house.py
+++ b/tests/test_full_house.py
@@ -35,8 +35,8 @@
 def adjust_timeouts(monkeypatch: pytest.MonkeyPatch) -> None:
     """Never time out a silent client, and retry discovery almost at once."""
     monkeypatch.setattr("larkcrank.routing.clients.REQUEST_PROGRESS_TIMEOUT_S", 1000.0)
-    monkeypatch.setattr("larkcrank.routing.clients.CLIENT_WRITE_TIMEOUT_S", 1000.0)
-    monkeypatch.setattr("larkcrank.routing.clients.MIN_IDLE_BEFORE_EVICTION_S", 0.0)
+    monkeypatch.setattr("larkcrank.routing.response_writer.CLIENT_WRITE_TIMEOUT_S", 1000.0)
+    monkeypatch.setattr("larkcrank.routing.idle_sessions.MIN_IDLE_BEFORE_EVICTION_S", 0.0)
     monkeypatch.setattr("larkcrank.routing.discovery.RETRY_INTERVAL_LIMITS_S", (0.01, 0.02))
 
 
@@ -409,7 +409,7 @@
             idle_clients = [await bed.client() for _ in range(3)]
             for client in idle_clients:
                 assert (await client.call("view")).status == 200
-            await b.until(lambda: len(sidecar.pool) == 1 and len(sidecar.clients._idle_served) == 3)
+            await b.until(lambda: len(sidecar.pool) == 1 and len(sidecar.clients._idle._served) == 3)
             sidecar.pool.close()
             for _ in range(5):
                 pending = PendingConnection(("127.0.0.1", one.port), descriptors, SocketUse.ATTEMPT)
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -499,7 +499,7 @@
 
 def test_a_client_that_does_not_read_its_response_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
     async def work() -> None:
-        monkeypatch.setattr("larkcrank.routing.clients.CLIENT_WRITE_TIMEOUT_S", 0.2)
+        monkeypatch.setattr("larkcrank.routing.response_writer.CLIENT_WRITE_TIMEOUT_S", 0.2)
         one = b.Endpoint("s-1")
 
         async def respond_endlessly(endpoint: b.Endpoint, request: http1.Request, writer: b.Writer) -> None:
@@ -570,7 +570,7 @@
 
 def test_a_client_that_reads_slowly_but_steadily_is_not_closed(monkeypatch: pytest.MonkeyPatch) -> None:
     """Each part of the answer takes longer than the time for which a client may take nothing."""
-    monkeypatch.setattr("larkcrank.routing.clients.CLIENT_WRITE_TIMEOUT_S", 0.8)
+    monkeypatch.setattr("larkcrank.routing.response_writer.CLIENT_WRITE_TIMEOUT_S", 0.8)
 
     async def work() -> None:
         async def respond_long(endpoint: b.Endpoint, request: http1.Request, writer: b.Writer) -> None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -487,7 +487,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def work() -> None:
-        monkeypatch.setattr("larkcrank.routing.clients.MIN_IDLE_BEFORE_EVICTION_S", 0.0)
+        monkeypatch.setattr("larkcrank.routing.idle_sessions.MIN_IDLE_BEFORE_EVICTION_S", 0.0)
         async with b.bed(b.Endpoint("s-1"), sockets=53) as bed:  # descriptors for 27 clients
             kept = [await bed.client() for _ in range(9)]
             for client in kept:
