A process that outlives its successor is found by the next one

Cause: a ready successor takes the path of the Unix socket over; when it is killed, the path leads nowhere. Now a process whose last successor has gone listens there again, unless another process does.

Test: a ready successor is killed, discovery answers 503, another one starts.

--- a/larkcrank/program/handover.py
+++ b/larkcrank/program/handover.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import os
 import socket
 import struct
@@ -194,6 +195,18 @@
         raise HandoverError(error.strerror or str(error)) from None
 
 
+async def _is_served(path: Path) -> bool:
+    """Return whether a process listens on the path, or may do so."""
+    try:
+        predecessor = await connect_to_predecessor(path)
+    except HandoverError:
+        return True
+    if predecessor is None:
+        return False
+    predecessor.close()
+    return True
+
+
 class SharedIds(Protocol):
     """The request ids that a process has taken."""
 
@@ -270,6 +283,26 @@
             link.close()
             self._links.discard(link)
             self._on_count_change(len(self._links))
+            if not self._links:
+                await self._reclaim_path()
+
+    async def _reclaim_path(self) -> None:
+        """Listen on the path again if the successors that took it over have all gone.
+
+        The next process would find nobody there otherwise, although this one still serves.
+        """
+        if self._server is None or self._owns_path() or await _is_served(self._path):
+            return
+        self._server.close()
+        with contextlib.suppress(OSError):  # the next process starts without a handover
+            await self.start()
+
+    def _owns_path(self) -> bool:
+        try:
+            status = self._path.stat()
+        except OSError:
+            return False
+        return (status.st_dev, status.st_ino) == self._socket_file_id
 
     def tell_known(self, request_id: str) -> None:
         """Tell all successors that a request is taken here."""
@@ -295,11 +328,7 @@
             return
         self._server.close()
         self._server = None
-        try:
-            status = self._path.stat()
-            if (status.st_dev, status.st_ino) == self._socket_file_id:
-                self._path.unlink()
-        except OSError:
-            pass
+        if self._owns_path():
+            self._path.unlink(missing_ok=True)
         for link in self._links:
             link.close()
--- a/tests/test_shared_news.py
+++ b/tests/test_shared_news.py
@@ -201,6 +201,10 @@
     assert not asyncio.run(upgrade_bed.play_drain_told_to_new_process(count, teller))
 
 
+def test_a_process_that_outlives_its_successor_is_found_by_the_next_one() -> None:
+    assert not asyncio.run(upgrade_bed.play_drain_after_a_failed_upgrade())
+
+
 @pytest.mark.parametrize("reloaded", [0, 1])
 def test_a_move_of_discovery_that_one_process_is_told_of_binds_the_other(reloaded: int) -> None:
     assert not asyncio.run(upgrade_bed.play_reload_of_one_process(reloaded))
--- a/tests/upgrade_bed.py
+++ b/tests/upgrade_bed.py
@@ -147,6 +147,7 @@
     endpoints: list[b.Endpoint] = field(default_factory=list)
     processes: list[Process] = field(default_factory=list)
     arrivals: list[tuple[str, float]] = field(default_factory=list)  # endpoint and time of each request
+    known_at_start: list[int] = field(default_factory=list)  # servers that each process began with
     answered: int = 0
     is_ending: bool = False
 
@@ -179,7 +180,8 @@
             limit=1 << 20,
         )
         self.processes.append(process)
-        await self.next_event(process, "ready")
+        ready = await self.next_event(process, "ready")
+        self.known_at_start.append(ready["known"])
         return process
 
     @staticmethod
@@ -303,6 +305,24 @@
         return running.late_arrivals("s-0", told_at)
 
 
+async def play_drain_after_a_failed_upgrade() -> list[float]:
+    """Kill a ready successor, start another one, and tell the first process alone of a drain."""
+    async with bed() as running:
+        (watch,) = running.discovery.watching()
+        failed = await running.start_process()
+        failed.kill()
+        await failed.wait()
+        await asyncio.sleep(0.3)
+        running.discovery.failure = Failure.UNAVAILABLE
+        await running.start_process()
+        assert running.known_at_start[-1] == len(running.endpoints), "it has found no predecessor"
+        running.discovery.change("s-0", "Terminating")
+        running.discovery.tell(watch, "s-0")
+        told_at = time.monotonic()
+        await asyncio.sleep(GRACE_S + 1.0)
+        return running.late_arrivals("s-0", told_at)
+
+
 async def play_reload_of_one_process(reloaded: int) -> list[float]:
     """Run two processes, of which one gets SIGHUP with another discovery, which drains an endpoint."""
     async with bed() as running:
