--- a/larkcrank/routing/deadline_timer.py
+++ b/larkcrank/routing/deadline_timer.py
@@ -49,7 +49,7 @@
         """`last_resort_s`: how much longer to wait after a stall than others do."""
         self._grace = grace
         self._callback = callback
-        self._subject = subject
+        self._subject: Subject | None = subject  # None once it has fired or was cancelled
         self._last_resort_s = last_resort_s
         self._handle = handle = grace.loop.call_later(delay_s, self._fire)
         self._due_at = handle.when()
@@ -59,12 +59,15 @@
         return self._due_at
 
     def cancel(self) -> None:
-        """Never call back any more."""
+        """Never call back any more, and forget the subject, which usually refers to the timer."""
         self._handle.cancel()
+        self._subject = None
 
     def _fire(self) -> None:
         delay_s = self._grace.delay_s(self._handle.when())
         if delay_s:
             self._handle = self._grace.loop.call_later(delay_s + self._last_resort_s, self._fire)
-        else:
-            self._callback(self._subject)
+            return
+        subject, self._subject = self._subject, None
+        if subject is not None:
+            self._callback(subject)
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -1,12 +1,15 @@
 """After a stall of the process, what arrived in time is handled before any deadline is acted on."""
 
 import asyncio
+import gc
 import socket
 import time
 
 import pytest
 
+from larkcrank.routing.attempt import Attempt
 from larkcrank.routing.deadline_timer import STALL_S, DeadlineTimer, InputGrace
+from larkcrank.routing.exchange import Exchange
 from tests import bed as b
 from tests import hostile_bed, stall_plays
 from tests.hostile_answers import Lumps
@@ -44,6 +47,25 @@
     b.run(work())
 
 
+def test_a_request_and_its_attempt_are_freed_without_a_garbage_collection() -> None:
+    async def work() -> None:
+        async with b.bed(b.Endpoint("s-1")) as bed:
+            client = await bed.client()
+            assert (await client.call("view")).status == 200
+            gc.collect()
+            gc.disable()
+            try:
+                for _ in range(20):
+                    assert (await client.call("view")).status == 200
+                await asyncio.sleep(0.01)
+                left = sum(isinstance(one, Attempt | Exchange) for one in gc.get_objects())
+                assert left <= 2
+            finally:
+                gc.enable()
+
+    b.run(work())
+
+
 @pytest.mark.parametrize("lumps", [Lumps("close", 100_000, 2.4), Lumps("chunked", 100_000, 2.4)])
 def test_a_slow_answer_is_not_cut_where_the_process_is_stopped_at_its_deadline(lumps: Lumps) -> None:
     async def work() -> None:
