Nothing is kept or encoded for a process of the sidecar that has gone

Read in the whole change: after an upgrade the link to the predecessor stayed, so that each answer of discovery was encoded for it and counted as dropped (`news_dropped`), and for a predecessor of an older build up to 8 MiB of news were kept. Now a predecessor that has gone is forgotten, and one that does not share news gets none.

Test: a successor tells its counters after two changes that came when it was alone: before, drops were counted (failed); after, none.

--- a/larkcrank/program/process_link.py
+++ b/larkcrank/program/process_link.py
@@ -18,7 +18,7 @@
         self._assembler = NewsAssembler()
         self._waiting_news: deque[bytes] = deque()
         self._waiting_bytes = 0
-        self._shares_news = False  # whether the other process understands news
+        self.shares_news = False  # whether the other process understands news
 
     def send(self, message: ProcessMessage) -> None:
         """Send a message, at once where the system takes it."""
@@ -27,7 +27,7 @@
 
     def enable_news(self) -> None:
         """Record that the other process understands news, and send what waits for that."""
-        self._shares_news = True
+        self.shares_news = True
         while self._waiting_news:
             self._write_news(self._waiting_news.popleft())
         self._waiting_bytes = 0
@@ -35,7 +35,7 @@
     def share(self, news: News) -> bool:
         """Send news. Returns False if they had to be dropped, since the other process takes nothing."""
         text = b"".join(map(process_messages.encode, process_messages.news_messages(news)))
-        if self._shares_news:
+        if self.shares_news:
             return self._write_news(text)
         self._waiting_news.append(text)
         self._waiting_bytes += len(text)
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -239,7 +239,7 @@
     def _share_news(self, news: News, source: ProcessLink | None = None) -> None:
         """Tell the other processes of this sidecar what one of them, or this one, was told."""
         links = set() if self._handover_server is None else set(self._handover_server.links)
-        if self._predecessor is not None:
+        if self._predecessor is not None and self._predecessor.link.shares_news:
             links.add(self._predecessor.link)
         links.discard(source)
         for link in links:
@@ -305,6 +305,7 @@
         self.log.event("processes", beside=sum(self._other_processes))
 
     def _on_predecessor_exit(self) -> None:
+        self._predecessor = None
         self.clients.claim_id = None
         self._set_other_processes(0, 0)
         if self.lifecycle.phase is not Phase.STARTING:
--- a/tests/test_shared_news.py
+++ b/tests/test_shared_news.py
@@ -229,3 +229,22 @@
             return running.late_arrivals("s-0", told_at)
 
     assert not asyncio.run(work())
+
+
+def test_nothing_is_kept_for_a_process_that_has_gone() -> None:
+    async def work() -> dict[str, Any]:
+        async with upgrade_bed.bed() as running:
+            new = await running.start_process()
+            running.processes[0].terminate()
+            await running.processes[0].wait()
+            await upgrade_bed.Bed.next_event(new, "processes")
+            for lifecycle in ("Terminating", "Ready"):
+                async with asyncio.timeout(10.0):
+                    await b.until(lambda: bool(running.discovery.watching()))
+                running.discovery.change("s-0", lifecycle)
+                running.discovery.tell(running.discovery.watching()[-1], "s-0")
+                await upgrade_bed.Bed.next_event(new, "servers_changed")
+            new.terminate()
+            return await upgrade_bed.Bed.next_event(new, "counters")
+
+    assert asyncio.run(work())["news_dropped"] == 0
