A test of evictions uses each connection at once, and counts the evictions

Now each client asks as soon as it has connected, all 60 must still be answered, and the evictions, which the test did not check, are counted.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -544,10 +544,12 @@
     async def work() -> None:
         one = b.Endpoint("s-1")
         async with b.bed(one, sockets=53) as bed:  # 21 of them are reserved
-            clients = [await bed.client() for _ in range(60)]
-            for client in clients:
-                client.send("view")
-                assert (await client.read_response()).status == 200
+            clients = []
+            for _ in range(60):  # each asks at once: a connection that waits unused may be evicted itself
+                clients.append(await bed.client())
+                clients[-1].send("view")
+                assert (await clients[-1].read_response()).status == 200
+            assert bed.sidecar.counters.client_closes["evicted"] >= 60 - 53
             assert bed.sidecar.counters.crashed == 0
 
     b.run(work())
