--- a/review/stand_ins_2/bed.py
+++ b/review/stand_ins_2/bed.py
@@ -127,16 +127,26 @@
         self.name, self.zone, self.lifecycle = name, zone, "Ready"
         self._record, self._serve, self._delay_s = record, serve, link_delay_s
         self._connections = 0
+        self._writers: list[asyncio.StreamWriter] = []
         self.port = 0
+        self.started_at_ms = 0.0  # Unix time; 0: long ago
         self.requests: list[tuple[float, Message]] = []  # with the time of the last byte
 
-    async def start(self) -> None:
-        server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
-        self._server = server
+    async def start(self, port: int = 0) -> None:
+        """Listen, with `port` at the address of an endpoint that has ended."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def end(self) -> None:
+        """End as a process does that is killed: refuse new connections and reset the open ones."""
+        self._record(self.name, "has ended")
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._connections += 1
+        self._writers.append(writer)
         link = Link(writer, self._connections, self._delay_s)
         queue: asyncio.Queue[Message | None] = asyncio.Queue()
         reading = asyncio.create_task(self._read(reader, link, queue))
@@ -169,7 +179,7 @@
             "cell": 0,
             "lifecycle": self.lifecycle,
             "weight": 1.0,
-            "startedAtMs": 0,
+            "startedAtMs": self.started_at_ms,
         }
 
 
@@ -184,6 +194,8 @@
     def __init__(self, endpoints: list[Endpoint], record: Record) -> None:
         self.endpoints, self._record = endpoints, record
         self.generation = 7
+        self._changes: list[tuple[int, dict[str, Any]]] = []  # with their generations
+        self._changed = asyncio.Event()
         self.port = 0
         self.calls = 0
         # Called with the number of the call, from 1; it may wait, and returns whether the call succeeds.
@@ -197,11 +209,18 @@
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def announce(self, *endpoints: Endpoint) -> None:
+        """Tell the watches that these endpoints have changed."""
+        self.generation += 1
+        self._changes += [(self.generation, endpoint.entry()) for endpoint in endpoints]
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def list_text(self, generation: int | None = None) -> dict[str, Any]:
         return {
             "generation": self.generation if generation is None else generation,
             "reset": True,
-            "instances": [endpoint.entry() for endpoint in self.endpoints],
+            "instances": [endpoint.entry() for endpoint in self.endpoints if endpoint.lifecycle != "Gone"],
         }
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -215,13 +234,22 @@
                     writer.write(encode_answer(503, b""))
                     continue
                 query = dict(part.partition("=")[::2] for part in target.partition("?")[2].split("&"))
-                if query.get("after") == str(self.generation):
-                    await asyncio.sleep(float(query["wait_ms"]) / 1000.0)
-                    answer: dict[str, Any] = self.list_text() | {"reset": False, "instances": []}
+                after = int(query.get("after", "0"))
+                if after == self.generation:
+                    with contextlib.suppress(TimeoutError):
+                        await asyncio.wait_for(self._changed.wait(), float(query["wait_ms"]) / 1000.0)
+                changes = {
+                    entry["instanceId"]: entry for generation, entry in self._changes if generation > after
+                }
+                if after == self.generation or changes:
+                    told = {"generation": self.generation, "reset": False, "instances": [*changes.values()]}
                 else:
-                    answer = self.list_text()
-                self._record("discovery", f"call {number}: generation {answer['generation']}")
-                writer.write(encode_answer(200, json.dumps(answer).encode()))
+                    told = self.list_text()
+                states = [f"{entry['instanceId']} {entry['lifecycle']}" for entry in told["instances"]]
+                self._record(
+                    "discovery", f"call {number}: generation {told['generation']}: {', '.join(states)}"
+                )
+                writer.write(encode_answer(200, json.dumps(told).encode()))
         except ConnectionError:
             pass
         finally:
@@ -353,6 +381,7 @@
         self.host_port = ("127.0.0.1", free_port())
         self.known: dict[str, Any] | None = None
         self.processes: list[Process] = []
+        self.ops_ports: list[int] = []  # of the processes, where the platform holds the listener
         self.listener: socket.socket | None = None  # where the platform holds it
         (directory / "tmp").mkdir()
 
@@ -386,7 +415,8 @@
         if self.listener is not None:
             passed = (self.listener.fileno(),)
             environment["PROXY_PASSED_SOCKET"] = str(passed[0])
-            environment["PROXY_OPS"] = f"127.0.0.1:{free_port()}"
+            self.ops_ports.append(free_port())
+            environment["PROXY_OPS"] = f"127.0.0.1:{self.ops_ports[-1]}"
         log_path = self._directory / f"log-{len(self.processes)}.txt"
         with log_path.open("wb") as log:
             process = await asyncio.create_subprocess_exec(
@@ -423,13 +453,17 @@
             await asyncio.sleep(0.1)
         raise CannotRunError("the sidecar was not ready within 30 s")
 
-    async def wait_until_ops_ready(self, number: int) -> None:
-        """Return once the process with this number has logged that it serves."""
-        log_path = self._directory / f"log-{number}.txt"
+    async def wait_for_yes(self, number: int) -> None:
+        """Return once the process with this number, from 0, has answered `PING` with 200."""
         for _ in range(300):
-            if '"event":"ready"' in log_path.read_text(errors="replace").replace(" ", ""):
-                self._record("platform", f"process {number + 1} serves")
-                return
+            with contextlib.suppress(OSError):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.ops_ports[number])
+                writer.write(b"PING\n")
+                answer = await reader.readline()
+                writer.close()
+                if answer.startswith(b"200"):
+                    self._record("platform", f"process {number + 1} says yes")
+                    return
             await asyncio.sleep(0.05)
         raise CannotRunError(f"process {number + 1} was not ready in time")
 
