--- a/review/stand_ins_2/bed.py
+++ b/review/stand_ins_2/bed.py
@@ -380,6 +380,7 @@
         self._settings = settings
         self.host_port = ("127.0.0.1", free_port())
         self.known: dict[str, Any] | None = None
+        self.descriptors = 1024  # limits.sockets
         self.processes: list[Process] = []
         self.ops_ports: list[int] = []  # of the processes, where the platform holds the listener
         self.listener: socket.socket | None = None  # where the platform holds it
@@ -398,7 +399,7 @@
             "listen": listen,
             "discovery": f"127.0.0.1:{self._discovery.port}",
             "seed": f"{len(self.processes) + 7:x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.descriptors},
             "known": self.known or self._discovery.list_text(),
             "settings": self._settings,
         }
