--- a/review/stand_ins_2/bed.py
+++ b/review/stand_ins_2/bed.py
@@ -481,10 +481,21 @@
 Play = Callable[[Record, Path], Awaitable[list[str]]]
 
 
+async def _abort_open_transports() -> None:
+    """Abort what the stand-ins left open; a stream that outlives its loop complains when it is freed."""
+    transports: dict[int, asyncio.WriteTransport] = getattr(asyncio.get_running_loop(), "_transports", {})
+    for transport in list(transports.values()):
+        transport.abort()
+    await asyncio.sleep(0)
+
+
 async def _play(play: Play, record: Record, directory: Path) -> int:
     try:
         async with asyncio.timeout(TIME_LIMIT_S):
-            breaks = await play(record, directory)
+            try:
+                breaks = await play(record, directory)
+            finally:
+                await _abort_open_transports()
     except (CannotRunError, TimeoutError, OSError) as error:
         record("result", f"could not run: {error!r}")
         print(f"could not run: {error!r}")
