--- a/larkcrank/routing/attempt.py
+++ b/larkcrank/routing/attempt.py
@@ -31,6 +31,7 @@
         "ended",
         "exchange",
         "fully_written",
+        "host_port",
         "index",
         "is_time_known",
         "is_unproven",
@@ -58,6 +59,7 @@
         self._memory = memory
         self._response_memory: MemoryReservation | None = None  # What is held of its answer.
         self.connection: Connection | None = None
+        self.host_port: tuple[str, int] | None = None  # where its server listens; None before it is used
         self.connection_number = 0
         self.position = 0  # of the request on its connection, from 1
         self.rested_ms = 0.0  # how long its connection had been idle; 0 if it is new
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -9,7 +9,7 @@
 
 from larkcrank.core.interface import Address, Result, State
 from larkcrank.protocol import http1, platform
-from larkcrank.protocol.discovery import ListUpdate
+from larkcrank.protocol.discovery import ListUpdate, format_host_port
 from larkcrank.routing.attempt import Attempt
 from larkcrank.routing.connections import AttemptConnections, ConnectionCounters
 from larkcrank.routing.deadline_timer import DeadlineTimer, InputGrace
@@ -291,6 +291,7 @@
                 attempt.exchange.call_info.id,
                 attempt.index,
                 attempt.address.hex(),
+                "" if attempt.host_port is None else format_host_port(attempt.host_port),
                 attempt.connection_number,
                 attempt.position,
                 attempt.started_at,
@@ -328,6 +329,7 @@
         if not self._may_start_writing(attempt):
             return  # Checked before taking a pooled connection, which other attempts may need.
         host_port, started_at = self._host_ports[attempt.address], self._started_at.get(attempt.address)
+        attempt.host_port = host_port
         connection = self._connections.take_idle(attempt, host_port)
         if connection is None:
             connection = await self._connections.open(attempt, host_port)
--- a/larkcrank/routing/trace.py
+++ b/larkcrank/routing/trace.py
@@ -13,6 +13,7 @@
     request: str  # its Req-Id
     attempt: int  # from 0
     server: str  # address in hexadecimal
+    host_port: str  # where the request was sent, or was to be sent; empty if nothing was tried
     connection: int  # number of the connection; 0 if there was none
     position: int  # of the request on its connection, from 1; 0 if there was none
     started_at: float
--- a/tests/test_diagnostics.py
+++ b/tests/test_diagnostics.py
@@ -42,13 +42,15 @@
         await testbed.respond_ok(endpoint, request, writer)
 
     async def scenario() -> None:
-        async with testbed.bed(testbed.Endpoint("s-1", respond)) as bed:
+        endpoint = testbed.Endpoint("s-1", respond)
+        async with testbed.bed(endpoint) as bed:
             client = await bed.client()
             await client.call("view")
             await asyncio.sleep(0.3)
             await client.call("view")
             first, second = bed.sidecar._servers.recent_attempts.as_list()
             assert (first["position"], second["position"]) == (1, 2)
+            assert first["host_port"] == second["host_port"] == f"127.0.0.1:{endpoint.port}"
             assert first["rested_ms"] == 0.0 and cast(float, second["rested_ms"]) >= 290.0
             assert all(cast(float, record["answer_ms"]) >= 15.0 for record in (first, second))
 
