A successor knows which ids lost their host and port, and the order of telling

Seen by callers: after an upgrade, a draining server got requests under the old id again: 14 to 51 in the second after the grace. Cause: the hand-over passes the servers that are in use. An id that lost its host and port and is still listed was unknown to the successor; the next whole list told it as new, and where no starts are told it took the host and port back. Change: the hand-over message has known_servers, with the order in which lists told of them (HostPortOwners.export_servers, restore_servers); also for a successor with other settings. An older build ignores the field, and tells none. Why this works: the successor decides from the same facts as its predecessor.

--- a/larkcrank/core/host_port_owners.py
+++ b/larkcrank/core/host_port_owners.py
@@ -104,7 +104,7 @@
     def restore_servers(self, servers: Iterable[KnownServer]) -> None:
         """Take over what an earlier process exported. It applies to the servers that the next list names."""
         self._restored = {server.endpoint.address: server for server in servers}
-        self._list_count = max((server.told_in for server in self._restored.values()), default=0)
+        self._list_count = max(self._list_count, *(server.told_in for server in self._restored.values()), 0)
 
     def _apply(self, endpoint: Endpoint, host_port: HostPort | None, changed: set[HostPort]) -> None:
         """Take one entry of a list."""
@@ -122,9 +122,10 @@
             and known.host_port == host_port
             and known.endpoint.started_at == endpoint.started_at
         ):
-            if known.endpoint.state is not endpoint.state:
+            if known.endpoint.state is not endpoint.state or endpoint.address in self._restored:
                 changed.add(host_port)
             known.endpoint = endpoint
+            self._restore(known)
             return
         changed.add(host_port)
         if known is not None:
@@ -133,12 +134,16 @@
         self._add(KnownServer(endpoint, host_port, self._list_count))
 
     def _add(self, server: KnownServer) -> None:
+        self._restore(server)
+        self._servers[server.endpoint.address] = server
+        self._by_host_port.setdefault(server.host_port, []).append(server)
+
+    def _restore(self, server: KnownServer) -> None:
+        """Give a server the order in which an earlier process was told of it."""
         earlier = self._restored.get(server.endpoint.address)
         if earlier is not None and earlier.host_port == server.host_port:
             server.told_in, server.is_listed = earlier.told_in, earlier.is_listed
             server.is_superseded = earlier.is_superseded
-        self._servers[server.endpoint.address] = server
-        self._by_host_port.setdefault(server.host_port, []).append(server)
 
     @staticmethod
     def _unlist(server: KnownServer, changed: set[HostPort]) -> None:
--- a/larkcrank/program/handover.py
+++ b/larkcrank/program/handover.py
@@ -18,7 +18,8 @@
 
 import msgspec
 
-from larkcrank.core.interface import Address
+from larkcrank.core.host_port_owners import KnownServer
+from larkcrank.core.interface import Address, Endpoint, HostPort
 from larkcrank.core.state import HandoverState
 from larkcrank.program.process_link import ProcessLink
 from larkcrank.protocol import process_messages
@@ -41,11 +42,27 @@
     generation: int | None  # of discovery's server list
     zones: list[str]
     kinds: list[str]
-    places: dict[Address, tuple[str, int]]  # host and port of each server
+    places: dict[Address, HostPort]  # where each server that may be used listens
     learnt: HandoverState  # the learned state of the balancer
     answers_claims: bool = False  # whether the sender answers claims of request ids
     shares_news: bool = False  # whether the sender understands news
     discovery: str = ""  # host:port of the service whose generation this is; empty: not told
+    # The servers of the list, also those withheld as another one owns their host and port. Empty: not told.
+    known_servers: list[KnownServer] = []
+
+    def listed_endpoints(self) -> list[Endpoint]:
+        """Return the servers that the receiver begins with, also those withheld or draining."""
+        learnt = {server.endpoint.address: server.endpoint for server in self.learnt.servers}
+        unused = {
+            server.endpoint.address: server.endpoint
+            for server in self.known_servers
+            if server.endpoint.address not in self.places
+        }
+        return list((unused | learnt).values())
+
+    def host_ports(self) -> dict[Address, HostPort]:
+        """Return where each of these servers listens."""
+        return {server.endpoint.address: server.host_port for server in self.known_servers} | self.places
 
 
 class HandoverError(Exception):
--- a/larkcrank/program/sidecar.py
+++ b/larkcrank/program/sidecar.py
@@ -226,17 +226,18 @@
         """Take over the list of a predecessor with other settings, which may number zones otherwise."""
         endpoints = tuple(
             replace(
-                server.endpoint,
-                zone=self._names.number_of(self._names.zones, message.zones[server.endpoint.zone]),
-                kind=self._names.number_of(self._names.kinds, message.kinds[server.endpoint.kind]),
+                endpoint,
+                zone=self._names.number_of(self._names.zones, message.zones[endpoint.zone]),
+                kind=self._names.number_of(self._names.kinds, message.kinds[endpoint.kind]),
             )
-            for server in message.learnt.servers
-            if server.endpoint.zone < len(message.zones) and server.endpoint.kind < len(message.kinds)
+            for endpoint in message.listed_endpoints()
+            if endpoint.zone < len(message.zones) and endpoint.kind < len(message.kinds)
         )
         if message.discovery == format_host_port(self._discovery.primary):
             self._discovery.set_generation(message.generation)
+            self._host_port_owners.restore_servers(message.known_servers)
             self._driver.receive_list(
-                ListUpdate(message.generation or 0, True, endpoints, message.places), ListSource.START
+                ListUpdate(message.generation or 0, True, endpoints, message.host_ports()), ListSource.START
             )
 
     def _share_news(self, news: News, source: ProcessLink | None = None) -> None:
@@ -290,6 +291,7 @@
             answers_claims=True,
             shares_news=True,
             discovery=format_host_port(self._discovery.primary),
+            known_servers=self._host_port_owners.export_servers(),
         )
         return handover.encode(message)
 
@@ -352,8 +354,9 @@
         if message is not None:
             self._balancer.import_state(message.learnt)
             self._names.zones[:], self._names.kinds[:] = message.zones, message.kinds
-            endpoints = tuple(server.endpoint for server in message.learnt.servers)
-            server_list = ListUpdate(message.generation or 0, True, endpoints, message.places)
+            endpoints = tuple(message.listed_endpoints())
+            server_list = ListUpdate(message.generation or 0, True, endpoints, message.host_ports())
+            self._host_port_owners.restore_servers(message.known_servers)
             if message.discovery in ("", format_host_port(self._discovery.primary)):
                 self._discovery.set_generation(message.generation)
             # Discovery may no longer respond, so the first call must be one that does not wait.
--- a/tests/test_host_port_owners.py
+++ b/tests/test_host_port_owners.py
@@ -128,6 +128,24 @@
     assert usable.addresses == {OLD}
 
 
+@pytest.mark.parametrize("has_list_before", [True, False])
+def test_the_next_process_knows_the_order_in_which_servers_were_told(has_list_before: bool) -> None:
+    """Guards against a whole list after an upgrade that gives the host and port back to the old id."""
+    first, second = Usable(), Usable()
+    first.tell(Entry(OLD), is_complete=True)
+    first.tell(Entry(NEW))
+    if has_list_before:
+        second.tell(Entry(NEW), Entry(OLD), is_complete=True)
+    second.owners.restore_servers(first.owners.export_servers())
+    second.tell(Entry(NEW), Entry(OLD), is_complete=True)
+    assert second.addresses == {NEW}
+    second.tell(Entry(OLD, State.DRAINING))
+    assert second.addresses == {NEW}
+    second.tell(Entry(OLD), Entry(NEW), is_complete=True)
+    second.tell(Entry(NEW, State.DRAINING))
+    assert second.addresses == set()
+
+
 def test_what_left_the_list_is_forgotten() -> None:
     for only_draining_binds in (True, False):
         usable = Usable(only_draining_binds)
--- a/tests/upgrade_bed.py
+++ b/tests/upgrade_bed.py
@@ -99,6 +99,13 @@
                 watch.answer = self.encode([self.entries[name] for name in names], is_full=False)
                 watch.told.set()
 
+    def tell_whole_list(self, connection: int) -> None:
+        """Tell one watch of the whole list."""
+        for watch in self._watches:
+            if watch.connection == connection:
+                watch.answer = self.encode(list(self.entries.values()), is_full=True)
+                watch.told.set()
+
     def change(self, name: str, lifecycle: str) -> None:
         """Change an entry, which nobody is told of yet."""
         self.generation += 1
@@ -148,6 +155,7 @@
     processes: list[Process] = field(default_factory=list)
     arrivals: list[tuple[str, float]] = field(default_factory=list)  # endpoint and time of each request
     known_at_start: list[int] = field(default_factory=list)  # servers that each process began with
+    contract: dict[str, Any] = field(default_factory=dict)  # changes to the deployment's contract
     answered: int = 0
     is_ending: bool = False
 
@@ -201,7 +209,9 @@
             "listen": "{}:{}".format(*self.passed_socket.getsockname()),
             "discovery": f"127.0.0.1:{discovery_port}",
             "ops": "127.0.0.1:0",
-            "settings": CONFIG | {"grades": CLASSES, "n-instances": 1, "registry-mode": "subscribe"},
+            "settings": CONFIG
+            | {"grades": CLASSES, "n-instances": 1, "registry-mode": "subscribe"}
+            | {"contract": CONFIG["contract"] | self.contract},
         }
         (self.folder / "config.json").write_text(json.dumps(config))
 
@@ -230,12 +240,12 @@
 
 
 @contextlib.asynccontextmanager
-async def bed(endpoint_count: int = 6) -> AsyncIterator[Bed]:
+async def bed(endpoint_count: int = 6, **contract: Any) -> AsyncIterator[Bed]:
     """Run one process of a sidecar with its endpoints, discovery and clients."""
     discovery = Discovery()
     await discovery.start()
     with tempfile.TemporaryDirectory() as folder, socket.create_server(("127.0.0.1", 0), backlog=512) as sock:
-        running = Bed(Path(folder), discovery, sock)
+        running = Bed(Path(folder), discovery, sock, contract=contract)
         for number in range(endpoint_count):
             endpoint = b.Endpoint(f"s-{number}", running.serve)
             await endpoint.start()
