--- a/larkcrank/routing/driver.py
+++ b/larkcrank/routing/driver.py
@@ -48,7 +48,8 @@
 from larkcrank.routing.deadline_timer import DeadlineTimer
 from larkcrank.routing.discovery import DiscoveryClient
 from larkcrank.routing.exchange import Exchange
-from larkcrank.routing.servers import MAX_LOGGED_SERVERS, AttemptExecutor
+from larkcrank.routing.server_directory import MAX_LOGGED_SERVERS
+from larkcrank.routing.servers import AttemptExecutor
 from larkcrank.routing.start_times import StartTimes
 
 # Fraction of the grace period after the deadline at which a request that is still open is failed.
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -5,9 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-import msgspec
-
-from larkcrank.core.interface import Address, Result, State
+from larkcrank.core.interface import Address, HostPort, Result
 from larkcrank.protocol import http1, platform
 from larkcrank.protocol.discovery import ListUpdate, format_host_port
 from larkcrank.routing.attempt import Attempt
@@ -17,6 +15,7 @@
 from larkcrank.routing.probes import ProbeCounters, Prober
 from larkcrank.routing.relay import RelayCounters, StreamRelay
 from larkcrank.routing.responses import CheckCounters, ResponseChecker
+from larkcrank.routing.server_directory import ServerDirectory, ServersChange
 from larkcrank.routing.trace import AttemptRecord, RecentAttempts
 from larkcrank.transport.answers import AnswerRecords
 from larkcrank.transport.closing import CloseReason
@@ -35,26 +34,6 @@
 BODY_WRITE_TIMEOUT_S = 10.0
 # After a failed write, what the endpoint had sent before is read for this time.
 UNREAD_RESPONSE_TIMEOUT_S = 0.5
-MAX_LOGGED_SERVERS = 8  # of one change of the list
-
-
-class ServersChange(msgspec.Struct, frozen=True):
-    """The servers to which requests may be sent from now on, and those to which none may be sent any more."""
-
-    added: set[Address]
-    removed: set[Address]
-
-    def __bool__(self) -> bool:
-        return bool(self.added or self.removed)
-
-    def as_fields(self) -> dict[str, object]:
-        """Return the change as fields of a log event. Of many servers only some are named."""
-        return {
-            "added_count": len(self.added),
-            "added": [address.hex() for address in sorted(self.added)[:MAX_LOGGED_SERVERS]],
-            "removed_count": len(self.removed),
-            "removed": [address.hex() for address in sorted(self.removed)[:MAX_LOGGED_SERVERS]],
-        }
 
 
 class ServerCounters(ProbeCounters, CheckCounters, ConnectionCounters, RelayCounters, Protocol):
@@ -93,9 +72,7 @@
         self._prober = Prober(descriptors, connect_timeout_ms, load_fields, counters, report_failure)
         pool.on_stray_answer = self._stray_answer_at_rest
         pool.on_rested = self._checker.confirm_answers
-        # If set, only a drain stops requests to a server. A server that is missing from the list, or listed
-        # as gone, is still used.
-        self._only_draining_binds = only_draining_binds
+        self._directory = ServerDirectory(self._connections, only_draining_binds)
         self._connect_timeout_ms = connect_timeout_ms
         self._memory = memory
         self._load_fields = load_fields
@@ -104,9 +81,6 @@
         self._counters = counters
         self._report_failure = report_failure
         self._loop = asyncio.get_running_loop()
-        self._host_ports: dict[Address, tuple[str, int]] = {}
-        self._started_at: dict[Address, float] = {}  # Start time of the server process, as last listed.
-        self._ready: set[Address] = set()  # The servers to which requests may be sent.
         self._attempts: dict[tuple[int, int], Attempt] = {}  # By request id and attempt index.
         self._tasks: set[asyncio.Task[None]] = set()
         self.recent_attempts = RecentAttempts()
@@ -121,62 +95,13 @@
         """The number of attempts that have not ended."""
         return len(self._attempts)
 
-    def host_ports(self) -> dict[Address, tuple[str, int]]:
+    def host_ports(self) -> dict[Address, HostPort]:
         """Return host and port of each server, as last listed."""
-        return dict(self._host_ports)
+        return self._directory.host_ports()
 
-    def apply_list(
-        self, server_list: ListUpdate, withheld: frozenset[Address] = frozenset()
-    ) -> ServersChange:
-        """Apply a server list: update the addresses of servers and which of them accept requests.
-
-        `withheld`: servers that lost their host and port. What is known of them is forgotten.
-        """
-        ready_before = self._ready.copy()
-        for address in withheld & self._host_ports.keys():
-            self._ready.discard(address)
-            self._connections.forget(address)
-            self._forget_place(address)
-        self._apply_list(server_list)
-        return ServersChange(self._ready - ready_before, ready_before - self._ready)
-
-    def _apply_list(self, server_list: ListUpdate) -> None:
-        if server_list.is_full and not self._only_draining_binds:
-            listed_addresses = {endpoint.address for endpoint in server_list.endpoints}
-            for address in self._ready - listed_addresses:
-                self._retire(address)
-            for address in self._host_ports.keys() - listed_addresses:
-                self._forget_place(address)
-        for endpoint in server_list.endpoints:
-            address, host_port = endpoint.address, server_list.host_ports.get(endpoint.address)
-            if endpoint.state is State.GONE and self._only_draining_binds:
-                # A server that vanished without draining may still be used. One that drained was retired when
-                # it began to drain.
-                continue
-            if endpoint.state is not State.READY:
-                self._retire(address)
-                if endpoint.state is State.GONE:
-                    self._forget_place(address)
-                continue
-            if self._host_ports.get(address, host_port) != host_port or (
-                self._started_at.get(address, endpoint.started_at) != endpoint.started_at
-            ):
-                # The address now belongs to another process; connections to the old one cannot be reused.
-                self._connections.forget(address)
-            self._ready.add(address)
-            self._started_at[address] = endpoint.started_at
-            if host_port is not None:
-                self._host_ports[address] = host_port
-
-    def _retire(self, address: Address) -> None:
-        """Send no more requests to a server and close its idle connections."""
-        self._ready.discard(address)
-        self._connections.retire(address)
-
-    def _forget_place(self, address: Address) -> None:
-        """Forget where a server was that is gone. What listens there next is another process."""
-        self._host_ports.pop(address, None)
-        self._started_at.pop(address, None)
+    def apply_list(self, server_list: ListUpdate, withheld: frozenset[Address]) -> ServersChange:
+        """Apply a server list. `withheld`: servers that lost their host and port, and are forgotten."""
+        return self._directory.apply(server_list, withheld)
 
     def start_attempt(
         self,
@@ -201,7 +126,7 @@
             self._attempt_ended,
         )
         self._attempts[exchange.id, attempt_index] = attempt
-        if exchange.closed or address not in self._host_ports or stop_at_ms <= now:
+        if exchange.closed or self._directory.process_of(address) is None or stop_at_ms <= now:
             attempt.end(Result.NOT_SENT)
             return
         if stop_at_ms < math.inf:
@@ -265,7 +190,8 @@
 
     async def _run_probe(self, address: Address) -> None:
         started_at = self._clock()
-        result, load = await self._prober.probe(address, self._host_ports.get(address))
+        process = self._directory.process_of(address)
+        result, load = await self._prober.probe(address, None if process is None else process.host_port)
         self.on_probe_result(address, result, self._clock() - started_at, load)
 
     def _start_task(self, coroutine: "asyncio._CoroutineLike[None]") -> None:
@@ -337,12 +263,15 @@
         """Connect, send the request and handle the response. Raises an error if the attempt fails."""
         if not self._may_start_writing(attempt):
             return  # Checked before taking a pooled connection, which other attempts may need.
-        host_port, started_at = self._host_ports[attempt.address], self._started_at.get(attempt.address)
-        attempt.host_port = host_port
-        connection = self._connections.take_idle(attempt, host_port)
+        process = self._directory.process_of(attempt.address)
+        if process is None:
+            attempt.end(Result.NOT_SENT)
+            return
+        attempt.host_port = process.host_port
+        connection = self._connections.take_idle(attempt, process.host_port)
         if connection is None:
-            connection = await self._connections.open(attempt, host_port)
-            if self._has_process_changed(attempt.address, host_port, started_at):
+            connection = await self._connections.open(attempt, process.host_port)
+            if self._directory.process_of(attempt.address) != process:
                 attempt.end(Result.NOT_SENT)  # It is connected to what listens at the old address now.
             if not self._may_start_writing(attempt):
                 return
@@ -377,7 +306,11 @@
             # The client side has not noticed this yet: it has not read the end of the connection, which may
             # come after unread data.
             self.on_client_gone(exchange)
-        if exchange.closed or attempt.address not in self._ready or self._clock() >= attempt.begin_by_ms:
+        if (
+            exchange.closed
+            or not self._directory.is_ready(attempt.address)
+            or self._clock() >= attempt.begin_by_ms
+        ):
             # The request was answered, the server left, or the window in which the idempotency key is valid
             # ended. Nothing new may be sent.
             attempt.end(Result.NOT_SENT)
@@ -385,12 +318,6 @@
             attempt.end(Result.NOT_SENT)  # The beginning of the body is no longer there.
         return not attempt.ended
 
-    def _has_process_changed(
-        self, address: Address, host_port: tuple[str, int], started_at: float | None
-    ) -> bool:
-        """Return whether a server has been listed anew with another place or start time."""
-        return (self._host_ports.get(address), self._started_at.get(address)) != (host_port, started_at)
-
     def _mark_written(self, attempt: Attempt) -> None:
         if not attempt.ended:
             attempt.fully_written = True
