A connection in use while its server's process is replaced carries no further request

Seen by callers: the next request after a restart of an endpoint under its id, or after its drain, could go on a connection to the process that ends; it is reset there, and one that must not run twice fails. Cause: the list closes idle connections of a server that leaves or is replaced; one that carried a request just then was put into the pool under the id afterwards. Change: an attempt keeps the process (place and start) that it went to; its connection is kept only if that is still the server's, and the server is ready. Why this works: the pool is entered in one place, which now compares what the connection belongs to.

--- a/larkcrank/routing/attempt.py
+++ b/larkcrank/routing/attempt.py
@@ -7,6 +7,7 @@
 from larkcrank.core.interface import Address, Result
 from larkcrank.routing.deadline_timer import DeadlineTimer
 from larkcrank.routing.exchange import Exchange
+from larkcrank.routing.server_process import ServerProcess
 from larkcrank.transport.closing import CloseReason
 from larkcrank.transport.connection import Connection
 from larkcrank.transport.memory import MemoryAccount, MemoryReservation, MemoryUse
@@ -31,11 +32,11 @@
         "ended",
         "exchange",
         "fully_written",
-        "host_port",
         "index",
         "is_time_known",
         "is_unproven",
         "position",
+        "process",
         "response_started",
         "rested_ms",
         "started_at",
@@ -59,7 +60,7 @@
         self._memory = memory
         self._response_memory: MemoryReservation | None = None  # What is held of its answer.
         self.connection: Connection | None = None
-        self.host_port: tuple[str, int] | None = None  # where its server listens; None before it is used
+        self.process: ServerProcess | None = None  # to which it goes; None before it is looked up
         self.connection_number = 0
         self.position = 0  # of the request on its connection, from 1
         self.rested_ms = 0.0  # how long its connection had been idle; 0 if it is new
--- a/larkcrank/routing/server_directory.py
+++ b/larkcrank/routing/server_directory.py
@@ -1,23 +1,15 @@
 """Where the servers of the list listen, and to which of them requests may be sent."""
 
-from typing import NamedTuple
-
 import msgspec
 
 from larkcrank.core.interface import Address, Endpoint, HostPort, State
 from larkcrank.protocol.discovery import ListUpdate
 from larkcrank.routing.connections import AttemptConnections
+from larkcrank.routing.server_process import ServerProcess
 
 MAX_LOGGED_SERVERS = 8  # of one change of the list
 
 
-class ServerProcess(NamedTuple):
-    """One process of a server, as it was last listed."""
-
-    host_port: HostPort
-    started_at: float  # Unix time in ms; 0: long ago
-
-
 class ServersChange(msgspec.Struct, frozen=True):
     """The servers to which requests may be sent from now on, and those to which none may be sent any more."""
 
@@ -53,6 +45,10 @@
         """Return the process of a server as last listed, or None if it is not known where it listens."""
         return self._processes.get(address)
 
+    def is_in_use(self, address: Address, process: ServerProcess | None) -> bool:
+        """Return whether requests may be sent to a server, and this is still its process."""
+        return address in self._ready and self._processes.get(address) == process
+
     def is_ready(self, address: Address) -> bool:
         """Return whether requests may be sent to a server."""
         return address in self._ready
--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -226,7 +226,7 @@
                 attempt.exchange.call_info.id,
                 attempt.index,
                 attempt.address.hex(),
-                "" if attempt.host_port is None else format_host_port(attempt.host_port),
+                "" if attempt.process is None else format_host_port(attempt.process.host_port),
                 attempt.connection_number,
                 attempt.position,
                 attempt.started_at,
@@ -263,11 +263,10 @@
         """Connect, send the request and handle the response. Raises an error if the attempt fails."""
         if not self._may_start_writing(attempt):
             return  # Checked before taking a pooled connection, which other attempts may need.
-        process = self._directory.process_of(attempt.address)
+        attempt.process = process = self._directory.process_of(attempt.address)
         if process is None:
             attempt.end(Result.NOT_SENT)
             return
-        attempt.host_port = process.host_port
         connection = self._connections.take_idle(attempt, process.host_port)
         if connection is None:
             connection = await self._connections.open(attempt, process.host_port)
@@ -408,12 +407,18 @@
         digest, response = parser.content_digest(), parser.response()
         if result is Result.OK:
             self._checker.remember(attempt, connection, digest, bool(response.body))
-            # An endpoint that reports a failure may still run the request, so only a success leaves the
-            # connection free for another one.
-            if response.keep_alive and (send_task is None or attempt.fully_written):
+            if response.keep_alive and self._is_connection_free(attempt):
                 self._connections.keep(attempt, connection)
             exchange.respond(200, response.fields.forwarded_lines(), response.body)
         attempt.end(result, platform.read_load_report(response.fields, self._load_fields))
 
+    def _is_connection_free(self, attempt: Attempt) -> bool:
+        """Return whether another request may follow on the connection of an attempt that succeeded.
+
+        An endpoint that reports a failure may still run the request, so only a success leaves it free. None
+        follows if the endpoint has left meanwhile, or its process was replaced.
+        """
+        return attempt.fully_written and self._directory.is_in_use(attempt.address, attempt.process)
+
     def _stray_answer_at_rest(self, address: Address, connection: Connection, idle_s: float) -> None:
         self._checker.record_stray(address, connection, idle_s * 1000.0, "at rest", None)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -4,6 +4,7 @@
 quota in slow start.
 """
 
+import asyncio
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -228,3 +229,29 @@
             assert len(running.old.requests) > request_count
 
     b.run(work())
+
+
+@pytest.mark.parametrize("lifecycle", ["Ready", "Terminating"])
+def test_a_connection_in_use_is_not_kept_when_its_server_is_restarted_or_drains(lifecycle: str) -> None:
+    """Guards against a next request on a connection to the process that has been replaced."""
+
+    async def work() -> None:
+        async with play(only_draining_binds=False) as running:
+            running.bed.make_times_known()
+            gate = asyncio.Event()
+            running.staying.lifecycle = "Gone"
+            await running.tell(running.staying)
+            running.old.serve = b.respond_after(gate)
+            running.client.send("view")
+            await b.until(lambda: len(running.old.requests) == 1)
+            running.old.lifecycle, running.old.started_at_ms = lifecycle, time.time() * 1000.0
+            await running.tell(running.old)
+            gate.set()
+            assert (await running.client.read_response()).status == 200
+            assert len(running.bed.sidecar.pool) == 0
+            running.old.lifecycle = "Ready"
+            await running.tell(running.old)
+            assert (await running.client.call("view")).status == 200
+            assert running.old.connections_opened == 2
+
+    b.run(work())
