A server told earlier does not come back when one told later has left its host and port

Cause: where start times and the order of lists contradict each other neither server is superseded. When the later one had drained and left the list, the earlier one, dead and still listed, got the place back while the later process still listened there. Change: one that has left the list supersedes those told earlier; one that leaves while it is withheld is forgotten.

--- a/larkcrank/core/host_port_owners.py
+++ b/larkcrank/core/host_port_owners.py
@@ -2,13 +2,14 @@
 
 What is known of a server is kept under its id, but a request goes to a host and port. If a new process
 listens where another one did, both ids may be known there, and only one of them names the process that does.
-Of two servers there, one is *superseded* if the other one started or was told later, and neither of both
-earlier, or if only the other one is listed. It stays so until a list tells another host and port, or another
-start, of it, or lists it again.
+Of two listed servers there, one is *superseded* if the other one started or was told later, and neither of
+both earlier. If one of them has left the list, the one that was told earlier is superseded, or the one that
+left if they were told together. A superseded server stays so until a list tells another host and port, or
+another start, of it, or lists it again.
 
 Start times and the order of lists may contradict each other, since clocks are stepped and lists come late.
-Then neither server is superseded: the one that started last owns the host and port, unless one of them
-drains. The same holds for servers that started and were told at the same time.
+Then neither server is superseded while both are listed: the one that started last owns the host and port,
+unless one of them drains. The same holds for servers that started and were told at the same time.
 """
 
 from collections.abc import Iterable, Mapping
@@ -38,12 +39,14 @@
         """Sort key: when its process started, then when a list told of it."""
         return self.endpoint.started_at, self.told_in
 
-    def is_newer_than(self, other: "KnownServer") -> bool:
-        """Whether this server started or was told later than another one, and neither of both earlier."""
+    def is_superseded_by(self, other: "KnownServer") -> bool:
+        """Whether another server at the same host and port listens there in place of this one."""
+        if self.is_listed != other.is_listed:
+            return self.told_in < other.told_in or (self.told_in == other.told_in and not self.is_listed)
         return (
             self.order() != other.order()
-            and self.endpoint.started_at >= other.endpoint.started_at
-            and self.told_in >= other.told_in
+            and self.endpoint.started_at <= other.endpoint.started_at
+            and self.told_in <= other.told_in
         )
 
 
@@ -76,7 +79,7 @@
         newly_withheld, forgotten = list[WithheldServer](), set[Address]()
         for host_port in changed:
             newly_withheld += self._settle(host_port)
-            forgotten |= self._forget_unlisted(host_port)
+            forgotten |= self._forget_unlisted(host_port, withheld_before)
         regained = {
             address: self._servers[address]
             for address in withheld_before - self._withheld - told.keys()
@@ -173,26 +176,21 @@
         if len(servers) == 1 and not servers[0].is_superseded:
             return servers
         candidates = [server for server in servers if not server.is_superseded]
-        is_any_listed = any(server.is_listed for server in candidates)
-        superseded = [
-            server
-            for server in candidates
-            if (is_any_listed and not server.is_listed)
-            or any(other.is_newer_than(server) for other in candidates if other.is_listed >= server.is_listed)
-        ]
+        superseded = [server for server in candidates if any(map(server.is_superseded_by, candidates))]
         for server in superseded:
             server.is_superseded = True
         return [server for server in candidates if not server.is_superseded]
 
-    def _forget_unlisted(self, host_port: HostPort) -> set[Address]:
-        """Forget the servers that are no longer listed and may not be used. Return those that were ready."""
+    def _forget_unlisted(self, host_port: HostPort, withheld_before: set[Address]) -> set[Address]:
+        """Forget the servers that have left the list and may not be used. Return those that were withheld."""
         forgotten = set()
         for server in list(self._by_host_port.get(host_port, ())):
             address = server.endpoint.address
-            is_usable = server.endpoint.state is State.READY and address not in self._withheld
-            if server.is_listed or (self._only_draining_binds and is_usable):
+            is_withheld = address in self._withheld or address in withheld_before
+            is_ready = server.endpoint.state is State.READY
+            if server.is_listed or (self._only_draining_binds and is_ready and not is_withheld):
                 continue
-            if address in self._withheld:
+            if is_withheld:
                 forgotten.add(address)
             self._forget(server)
         return forgotten
--- a/tests/test_host_port_owners.py
+++ b/tests/test_host_port_owners.py
@@ -101,6 +101,37 @@
     assert usable.addresses == set()
 
 
+@pytest.mark.parametrize("is_drained", [True, False])
+@pytest.mark.parametrize("is_left_out", [True, False])
+@pytest.mark.parametrize("only_draining_binds", [True, False])
+def test_a_server_told_earlier_does_not_come_back_when_a_later_one_leaves(
+    only_draining_binds: bool, is_left_out: bool, is_drained: bool
+) -> None:
+    """Guards against requests to a process that has left the list and still listens. Start times mislead."""
+    usable = Usable(only_draining_binds)
+    usable.tell(Entry(OLD, started_at=9.0), is_complete=True)
+    usable.tell(Entry(NEW, started_at=3.0))
+    if is_drained:
+        usable.tell(Entry(NEW, State.DRAINING, 3.0))
+    if is_left_out:
+        usable.tell(Entry(OLD, started_at=9.0), is_complete=True)
+    else:
+        usable.tell(Entry(NEW, State.GONE, 3.0))
+    assert usable.addresses == set()
+    usable.tell(Entry(OLD, started_at=9.0), is_complete=True)
+    assert OLD not in usable.addresses
+
+
+def test_a_server_told_later_comes_back_when_an_earlier_one_leaves() -> None:
+    usable = Usable()
+    usable.tell(Entry(OLD, started_at=9.0), is_complete=True)
+    usable.tell(Entry(NEW, started_at=3.0))
+    usable.tell(Entry(OLD, State.DRAINING, 9.0))
+    assert usable.addresses == set()
+    usable.tell(Entry(OLD, State.GONE, 9.0))
+    assert usable.addresses == {NEW}
+
+
 def test_a_listed_server_owns_the_host_and_port_of_one_that_is_gone_whatever_their_start_times() -> None:
     usable = Usable(only_draining_binds=True)
     usable.tell(Entry(OLD, started_at=9.0), is_complete=True)
