A server that is told only as gone ends the claims of those that started before it

Cause: entries of servers that are gone and were not known were passed over, although they tell who listened there. Change: such an entry supersedes what started strictly before at its host and port; one that started no later changes nothing.

--- a/larkcrank/core/host_port_owners.py
+++ b/larkcrank/core/host_port_owners.py
@@ -4,8 +4,9 @@
 listens where another one did, both ids may be known there, and only one of them names the process that does.
 Of two listed servers there, one is *superseded* if the other one started or was told later, and neither of
 both earlier. If one of them has left the list, the one that was told earlier is superseded, or the one that
-left if they were told together. A superseded server stays so until a list tells another host and port, or
-another start, of it, or lists it again.
+left if they were told together. A server that is told only as gone supersedes those that started earlier. A
+superseded server stays so until a list tells another host and port, or another start, of it, or lists it
+again.
 
 Start times and the order of lists may contradict each other, since clocks are stepped and lists come late.
 Then neither server is superseded while both are listed: the one that started last owns the host and port,
@@ -115,6 +116,8 @@
         if endpoint.state is State.GONE:
             if known is not None:
                 self._unlist(known, changed)
+            elif host_port is not None:
+                self._supersede_older(host_port, endpoint.started_at, changed)
             return
         host_port = host_port or (None if known is None else known.host_port)
         if host_port is None:
@@ -153,6 +156,13 @@
         server.is_listed = False
         changed.add(server.host_port)
 
+    def _supersede_older(self, host_port: HostPort, started_at: float, changed: set[HostPort]) -> None:
+        """Take note of a server that came and left between two lists, and took the place of older ones."""
+        for server in self._by_host_port.get(host_port, ()):
+            if server.endpoint.started_at < started_at:
+                server.is_superseded = True
+                changed.add(host_port)
+
     def _settle(self, host_port: HostPort) -> list[WithheldServer]:
         """Decide who owns a host and port, and return the servers that are withheld from now on."""
         servers = self._by_host_port.get(host_port, [])
--- a/tests/test_host_port_owners.py
+++ b/tests/test_host_port_owners.py
@@ -122,6 +122,17 @@
     assert OLD not in usable.addresses
 
 
+@pytest.mark.parametrize("started_at", [3.0, 5.0, 9.0])
+def test_a_server_that_is_told_only_as_gone_had_the_host_and_port_if_it_started_later(
+    started_at: float,
+) -> None:
+    """Guards against requests to a process that came and left between two lists, and still listens."""
+    usable = Usable()
+    usable.tell(Entry(OLD, started_at=5.0), is_complete=True)
+    usable.tell(Entry(NEW, State.GONE, started_at))
+    assert usable.addresses == (set() if started_at > 5.0 else {OLD})
+
+
 def test_a_server_told_later_comes_back_when_an_earlier_one_leaves() -> None:
     usable = Usable()
     usable.tell(Entry(OLD, started_at=9.0), is_complete=True)
