--- a/tests/takeover_soak.py
+++ b/tests/takeover_soak.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import sys
 import time
@@ -23,6 +24,7 @@
 FAILURE_SHARE = 0.2
 CLOCK_STEP_MS = 3_600_000.0
 USED_WITHIN_S = 2.0
+TOLD_S = 0.05  # a process that was told lives on for so long: "each time limit is 50 ms longer"
 
 
 @dataclass
@@ -61,6 +63,8 @@
         self._drained_at: dict[str, float] = {}
         self._started_count = len(running.endpoints)
         self._tasks: list[asyncio.Task[None]] = []
+        # What is written to a process that was killed tells nobody: telling and killing exclude each other.
+        self._telling = asyncio.Lock()
 
     async def run(self) -> None:
         for _ in range(ACTIONS):
@@ -88,13 +92,17 @@
                 await asyncio.sleep(0.02)
         return watches
 
-    async def _tell(self, *names: str, is_whole: bool = False) -> None:
-        """Tell one process, which has to tell the others."""
-        watch = self._rng.choice(await self._watching())
-        if is_whole:
-            self._discovery.tell_whole_list(watch)
-        else:
-            self._discovery.tell(watch, *names)
+    async def _tell(self, *names: str, is_whole: bool = False) -> float:
+        """Tell one process, which has to tell the others. Return when it was told."""
+        async with self._telling:
+            watch = self._rng.choice(await self._watching())
+            if is_whole:
+                self._discovery.tell_whole_list(watch)
+            else:
+                self._discovery.tell(watch, *names)
+            told_at = time.monotonic()
+            await asyncio.sleep(TOLD_S)
+            return told_at
 
     async def _upgrade(self) -> None:
         """Start a successor and end the process before it."""
@@ -105,21 +113,26 @@
         await asyncio.sleep(self._rng.uniform(0.1, 0.8))
         self._tasks.append(asyncio.create_task(self._end_process(old)))
 
-    @staticmethod
-    async def _end_process(process: asyncio.subprocess.Process) -> None:
+    async def _end_process(self, process: asyncio.subprocess.Process) -> None:
         process.terminate()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(upgrade_bed.KILL_AFTER_S):
                 await process.wait()
                 return
-        process.kill()
+        async with self._telling:
+            watches = len(self._discovery.watching())
+            process.kill()
+            await process.wait()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TOLD_S):
+                    await b.until(lambda: len(self._discovery.watching()) < watches)
 
     async def _drain(self, endpoint: b.Endpoint) -> None:
         await self._watching()
         self._outcome.drains += 1
         self._discovery.change(endpoint.name, "Terminating")
-        await self._tell(endpoint.name)
-        self._drained_at[endpoint.name] = time.monotonic()
+        self._drained_at[endpoint.name] = math.inf  # being told
+        self._drained_at[endpoint.name] = await self._tell(endpoint.name)
         self._tasks.append(asyncio.create_task(self._end_drained(endpoint)))
 
     async def _end_drained(self, endpoint: b.Endpoint) -> None:
