--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -14,10 +14,12 @@
 import pytest
 
 from larkcrank.protocol.discovery import format_host_port
+from larkcrank.transport.connection import Connection, PendingConnection
 from tests import bed as b
 from tests.frames import CONFIG
 
 CALLS = 12  # enough for each server to have several turns
+WARM_MS = 60_000.0  # a server that started so long ago is warm
 
 
 class OldEntry(Enum):
@@ -255,3 +257,55 @@
             assert running.old.connections_opened == 2
 
     b.run(work())
+
+
+@pytest.mark.parametrize("only_draining_binds", [True, False])
+def test_a_request_is_not_sent_under_an_id_that_loses_its_place_while_the_connection_comes_up(
+    only_draining_binds: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def work() -> None:
+        async with play(only_draining_binds) as running:
+            running.staying.lifecycle = "Terminating"
+            await running.tell(running.staying)
+            new = await running.replace(running.old, "s-9", 0.0)
+            wait = PendingConnection.wait
+
+            async def wait_while_the_list_changes(
+                pending: PendingConnection, timeout_ms: float
+            ) -> Connection:
+                connection = await wait(pending, timeout_ms)
+                monkeypatch.setattr(PendingConnection, "wait", wait)
+                await running.tell(new)
+                return connection
+
+            monkeypatch.setattr(PendingConnection, "wait", wait_while_the_list_changes)
+            await running.call(1)
+            results = [
+                (attempt["server"], attempt["result"])
+                for attempt in running.bed.sidecar._servers.recent_attempts.as_list()
+            ]
+            assert results == [(b"s-1".hex(), "not sent"), (b"s-9".hex(), "ok")]
+
+    b.run(work())
+
+
+def test_a_sidecar_that_starts_with_both_ids_uses_the_one_that_started_last() -> None:
+    """The list at its start names them; it may be one kept from before."""
+
+    async def work() -> None:
+        new, old = b.Endpoint("s-9"), b.Endpoint("s-1")
+        new.started_at_ms = time.time() * 1000.0 - WARM_MS
+        await new.start()
+        old.port = new.port  # where it listened
+        async with b.bed(new, old) as bed:
+            running = Play(bed, await bed.client(), new, old)
+            await b.until(lambda: len(bed.discovery.request_targets) >= 1)
+            await running.call()
+            assert running.ids_used_at(new) == {b"s-9".hex()}
+            new.lifecycle = "Terminating"
+            await running.tell(new)
+            request_count = len(new.requests)
+            assert (await running.client.call("view", 0.3)).status in (503, 504)
+            assert len(new.requests) == request_count
+
+    b.run(work())
