Rate limits and the choice of a subset have modules of their own in core/

Cause: balancer.py held them beside all other decisions (1,060 lines). Tests only import from other modules. No decision changes.

--- a/larkcrank/core/balancer.py
+++ b/larkcrank/core/balancer.py
@@ -1,7 +1,8 @@
 """The balancer: one `Balancer` per instance takes events, makes every decision and returns actions.
 
 The types of events and actions are in larkcrank/core/interface.py, the types of its state in
-larkcrank/core/state.py, and the reasons for the design in docs/design.md. Times are milliseconds on the
+larkcrank/core/state.py, the send limits in larkcrank/core/rate_limit.py, the choice of the servers in use in
+larkcrank/core/subset.py, and the reasons for the design in docs/design.md. Times are milliseconds on the
 caller's clock; rates are per millisecond. "Usual" answer times are long-term averages; "recent" ones are
 averages over a shorter time. The "aim" of a request is its target response time.
 
@@ -46,6 +47,13 @@
     Uploaded,
     Watch,
 )
+from larkcrank.core.rate_limit import (
+    ALLOWED_MISS_SHARE,
+    CELL_ALLOWED_MISS_SHARE,
+    RATE_TIME_CONSTANT_MS,
+    has_quota,
+    record_send_result,
+)
 from larkcrank.core.state import (
     Attempt,
     DecayingCounter,
@@ -55,13 +63,9 @@
     RateLimiter,
     Server,
 )
+from larkcrank.core.subset import MIN_INSTANCES_PER_SERVER, choose_subset
 
-# Send limit of a server or a cell, after CARD, an algorithm for client-side rate limiting.
-LIMIT_CUT_SHARE = 0.20  # share of the send rate that one cut removes (beta in CARD)
-# Windows from a cut until the limit is back at the send rate that caused the cut (CARD: "within tens of
-# windows"). It determines the cubic factor C of CARD.
-LIMIT_RECOVERY_WINDOWS = 10
-HYSTERESIS_WINDOWS = 2  # minimum windows from a rise of the limit to the next cut (CARD: 10 ms / 5 ms)
+# An observation period of the send limits lasts for so many sends.
 OBSERVATION_SENDS = 4  # sends to an average server in one observation period
 MAX_OBSERVATION_MS = 20000.0  # with a longer period, outdated results would count
 
@@ -73,12 +77,6 @@
 MIN_TIME_LEFT_ANSWERS = 2.0
 MIN_TIME_LEFT_AIM_SHARE = 0.8  # upper bound on this required time, as a share of the aim
 
-# The limit is cut if the misses of an observation period exceed both the number and the share below.
-ALLOWED_MISSES = 1.5  # misses that chance alone may cause
-ALLOWED_MISS_SHARE = 0.25  # share of the sends to a server that may be missed by chance
-# The same for a cell. If its servers are unequal, a quarter of its sends usually become late.
-CELL_ALLOWED_MISS_SHARE = 0.5
-
 # The limit on attempts in flight at all servers together, as a multiple of the usual number in flight.
 LATE_WORTH_IN_FLIGHT_FACTOR = 5.0  # if late answers to some class have a worth
 IN_FLIGHT_FACTOR = 3.0  # otherwise
@@ -114,13 +112,6 @@
 # further failure, at most this many times.
 MAX_BACKOFF_DOUBLINGS = 4
 
-# If there are many instances, each uses only a subset of the servers, of about this size.
-SUBSET_SERVERS = 4
-UNSIZED_SUBSET_SERVERS = 64  # if the list gives no sizes; a subset of four might have only small servers
-# Minimum number of instances that use each server: the first value in small fleets, rising to the
-# second in large ones.
-MIN_INSTANCES_PER_SERVER = (4, 6)
-MIN_SUBSET_SERVERS = 4  # minimum number of ready servers in a subset
 MAX_SERVERS_EXAMINED = 64  # maximum number of servers examined for one request in one event
 
 RETRY_BUDGET_SHARE = 0.2  # allowed retries as a share of the accepted requests
@@ -132,7 +123,6 @@
 # Maximum load of a cold server, as a share of the load at which it fails; twice this load is still harmless.
 MAX_COLD_LOAD_SHARE = 0.5
 
-RATE_TIME_CONSTANT_MS = 2000.0  # for the rates of requests, sends and answers
 TENANT_TIME_CONSTANT_MS = 5000.0  # for the sends of each tenant
 
 # The discovery calls of all instances are spread over this time multiplied by the number of instances,
@@ -166,55 +156,6 @@
 INPUT_GRACE_MS = 20.0
 
 
-def record_send_result(
-    limiter: RateLimiter,
-    now: float,
-    window_ms: float,
-    observation_ms: float,
-    sent_at: float,
-    missed: bool,
-) -> None:
-    """Count one send as answered in time or missed."""
-    if missed and sent_at < limiter.event_at:
-        return  # Sends before the last cut are part of the overload that it responded to.
-    limiter.settled.add(now, observation_ms)
-    if missed:
-        limiter.missed.add(now, observation_ms)
-        update_limit(limiter, now, window_ms, observation_ms)
-
-
-def update_limit(limiter: RateLimiter, now: float, window_ms: float, observation_ms: float) -> None:
-    """Cut the limit if too many sends were missed; otherwise raise it along the cubic curve."""
-    allowed_misses = max(ALLOWED_MISSES, limiter.share * limiter.settled.decayed(now, observation_ms))
-    if limiter.missed.decayed(now, observation_ms) > allowed_misses:
-        if now - limiter.rose_at > HYSTERESIS_WINDOWS * window_ms:
-            rate = min(limiter.sends.rate(now, max(observation_ms, RATE_TIME_CONSTANT_MS)), limiter.limit)
-            # The send rate that proved too high (M in CARD). It is averaged over a longer time than a pause
-            # in sending, and is at least one send per observation period.
-            limiter.saturated = max(rate, 1 / observation_ms)
-            limiter.limit = (1 - LIMIT_CUT_SHARE) * limiter.saturated
-            limiter.event_at = limiter.rose_at = now
-            limiter.settled, limiter.missed = DecayingCounter(now), DecayingCounter(now)
-    elif limiter.limit < math.inf:
-        # The cubic curve of CARD is C * (t - K) ** 3 + M, where t is the time since the cut and M the rate
-        # that proved too high. It starts at the reduced limit (t = 0) and reaches M at t = K, here
-        # `recovery_ms`.
-        recovery_ms = LIMIT_RECOVERY_WINDOWS * window_ms
-        cubic_factor = LIMIT_CUT_SHARE * limiter.saturated / recovery_ms**3  # C
-        limiter.limit = cubic_factor * (now - limiter.event_at - recovery_ms) ** 3 + limiter.saturated
-        limiter.rose_at = now
-
-
-def has_quota(limiter: RateLimiter, now: float, window_ms: float, observation_ms: float) -> bool:
-    """Whether the limit allows a send now; refills the quota once per window."""
-    if limiter.limit < math.inf and now >= limiter.window_at + window_ms:
-        update_limit(limiter, now, window_ms, observation_ms)
-        max_credit = max(1.0, limiter.limit * window_ms)
-        limiter.credit = min(limiter.credit + limiter.limit * (now - limiter.window_at), max_credit)
-        limiter.window_at = now
-    return limiter.limit == math.inf or limiter.credit >= 1.0
-
-
 class Balancer:
     """Distributes requests over the servers by weighted round-robin, within adaptive send limits."""
 
@@ -983,7 +924,11 @@
         # `place` is random, so the instances have different orders. The turns of a server that cannot accept
         # go to the next in order. With the same order everywhere, one server would get them from all
         # instances.
-        self._ring = sorted(self._choose_subset(), key=lambda server: server.place)
+        ready = [server for server in self._servers.values() if server.endpoint.state is State.READY]
+        ready = [server for server in ready if server.listed or server.fails < MAX_BACKOFF_DOUBLINGS] or ready
+        subset = choose_subset(ready, self._settings, self._now)
+        self._instances_per_server = subset.instances_per_server
+        self._ring = sorted(subset.servers, key=lambda server: server.place)
         self._update_sizes()
 
     def _update_sizes(self) -> None:
@@ -1011,50 +956,3 @@
             DecayingCounter(self._now),  # missed sends, since the last cut
             allowed_miss_share,
         )
-
-    def _choose_subset(self) -> list[Server]:
-        """Choose the ready servers that this instance uses: all, or a subset if there are many instances and
-        many servers."""
-        ready = [server for server in self._servers.values() if server.endpoint.state is State.READY]
-        ready = [server for server in ready if server.listed or server.fails < MAX_BACKOFF_DOUBLINGS] or ready
-        instance_count, server_count = max(self._settings.instances, 1), len(ready)
-        min_instances_per_server = min(
-            max(instance_count // MIN_INSTANCES_PER_SERVER[1], MIN_INSTANCES_PER_SERVER[0]),
-            MIN_INSTANCES_PER_SERVER[1],
-        )
-        target_servers = SUBSET_SERVERS if self._settings.listed_sizes else UNSIZED_SUBSET_SERVERS
-        instances_per_server = max(
-            round(target_servers / max(server_count, 1) * instance_count), min_instances_per_server
-        )
-        self._instances_per_server = float(max(instance_count, self._settings.most))
-        if instances_per_server >= instance_count or server_count <= MIN_SUBSET_SERVERS:
-            return ready
-        # The servers are ordered in a circle, and a subset consists of consecutive ones, from a position that
-        # depends on the instance. Every server is then in about the same number of subsets, and a change of
-        # the list only shifts where the subsets begin and end.
-        keep_cells_together = any(
-            request_class.effect is Effect.KEYED and request_class.group is Group.CELL
-            for request_class in self._settings.classes
-        )
-        cell_order = {
-            ready_server.endpoint.cell: zlib.crc32(b"%d" % ready_server.endpoint.cell)
-            if keep_cells_together
-            else 0
-            for ready_server in ready
-        }
-        ready.sort(key=lambda server: (cell_order[server.endpoint.cell], server.mark))
-        subset_size = max(round(instances_per_server * server_count / instance_count), MIN_SUBSET_SERVERS)
-        first_index, subset, warm_count = (
-            self._settings.ordinal * server_count // instance_count,
-            list[Server](),
-            0,
-        )
-        # Cold servers do not count towards the size of the subset, because they take hardly any load.
-        while warm_count < subset_size and len(subset) < server_count:
-            subset.append(ready[(first_index + len(subset)) % server_count])
-            started_at = subset[-1].endpoint.started_at
-            warm_count += not started_at or self._now - started_at >= self._settings.warm_after_ms
-        self._instances_per_server = max(
-            max(instance_count, self._settings.most) * len(subset) / server_count, 1.0
-        )
-        return subset
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -13,14 +13,7 @@
 import pytest
 
 from larkcrank.core import balancer as balancer_module
-from larkcrank.core.balancer import (
-    ALLOWED_MISS_SHARE,
-    RATE_TIME_CONSTANT_MS,
-    Balancer,
-    has_quota,
-    record_send_result,
-    update_limit,
-)
+from larkcrank.core.balancer import Balancer
 from larkcrank.core.interface import (
     Action,
     Cancel,
@@ -49,7 +42,15 @@
     Uploaded,
     Watch,
 )
+from larkcrank.core.rate_limit import (
+    ALLOWED_MISS_SHARE,
+    RATE_TIME_CONSTANT_MS,
+    has_quota,
+    record_send_result,
+    update_limit,
+)
 from larkcrank.core.state import DecayingCounter, RateLimiter, Server
+from larkcrank.core.subset import MIN_INSTANCES_PER_SERVER, MIN_SUBSET_SERVERS
 
 VIEW, TAKE, BOOK, FILE = range(4)  # indexes into CLASSES
 CLASSES = (
@@ -857,18 +858,12 @@
     subsets = assigned_subsets(instances, servers)
     instances_by_address = Counter(address for subset in subsets for address in subset)
     mean_instances = sum(instances_by_address.values()) / servers
-    assert (
-        len(instances_by_address) == servers
-        and mean_instances >= balancer_module.MIN_INSTANCES_PER_SERVER[1] * 0.9
-    )
+    assert len(instances_by_address) == servers and mean_instances >= MIN_INSTANCES_PER_SERVER[1] * 0.9
     assert (
         0.5 * mean_instances <= min(instances_by_address.values())
         and max(instances_by_address.values()) <= 1.6 * mean_instances
     )
-    assert (
-        len({len(subset) for subset in subsets}) == 1
-        and len(subsets[0]) >= balancer_module.MIN_SUBSET_SERVERS
-    )
+    assert len({len(subset) for subset in subsets}) == 1 and len(subsets[0]) >= MIN_SUBSET_SERVERS
 
 
 def test_subset_hardly_changes_when_one_server_leaves() -> None:
@@ -915,7 +910,7 @@
         )
         harness.handle(ServerList(endpoints, complete=True))
         warm_count = sum(not server.endpoint.started_at for server in harness.balancer._ring)
-        assert balancer_module.MIN_SUBSET_SERVERS <= warm_count < 20
+        assert MIN_SUBSET_SERVERS <= warm_count < 20
 
 
 def test_subset_that_loses_servers_is_refilled() -> None:
@@ -927,7 +922,7 @@
     harness.handle(
         ServerList(tuple(Endpoint(address, State.DRAINING) for address in subset[1:]), complete=False)
     )
-    assert len(harness.balancer._ring) >= balancer_module.MIN_SUBSET_SERVERS
+    assert len(harness.balancer._ring) >= MIN_SUBSET_SERVERS
     assert subset[0] in {server.endpoint.address for server in harness.balancer._ring}
 
 
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -6,10 +6,8 @@
 
 from larkcrank.core.balancer import (
     MAX_TURNS_AHEAD,
-    RATE_TIME_CONSTANT_MS,
     SHARED_IN_FLIGHT_PER_SERVER,
     STALE_LIST_FAILURES,
-    SUBSET_SERVERS,
 )
 from larkcrank.core.interface import (
     Action,
@@ -24,7 +22,9 @@
     Send,
     ServerList,
 )
+from larkcrank.core.rate_limit import RATE_TIME_CONSTANT_MS
 from larkcrank.core.state import PendingRequest
+from larkcrank.core.subset import SUBSET_SERVERS
 from tests.test_balancer import BalancerHarness, sent_addresses, server_address
 
 QUICK, HEAVY = range(2)  # indexes into CLASSES
