--- a/larkcrank/routing/servers.py
+++ b/larkcrank/routing/servers.py
@@ -7,7 +7,7 @@
 
 from larkcrank.core.interface import Address, HostPort, Result
 from larkcrank.protocol import http1, platform
-from larkcrank.protocol.discovery import ListUpdate, format_host_port
+from larkcrank.protocol.discovery import ListUpdate
 from larkcrank.routing.attempt import Attempt
 from larkcrank.routing.connections import AttemptConnections, ConnectionCounters
 from larkcrank.routing.deadline_timer import DeadlineTimer, InputGrace
@@ -226,7 +226,7 @@
                 attempt.exchange.call_info.id,
                 attempt.index,
                 attempt.address.hex(),
-                "" if attempt.process is None else format_host_port(attempt.process.host_port),
+                None if attempt.process is None else attempt.process.host_port,
                 attempt.connection_number,
                 attempt.position,
                 attempt.started_at,
--- a/larkcrank/routing/trace.py
+++ b/larkcrank/routing/trace.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from larkcrank.core.interface import HostPort
+from larkcrank.protocol.discovery import format_host_port
+
 MAX_RECORDS = 64
 
 
@@ -13,7 +16,7 @@
     request: str  # its Req-Id
     attempt: int  # from 0
     server: str  # address in hexadecimal
-    host_port: str  # where the request was sent, or was to be sent; empty if nothing was tried
+    host_port: HostPort | None  # where the request was sent, or was to be sent; None if nothing was tried
     connection: int  # number of the connection; 0 if there was none
     position: int  # of the request on its connection, from 1; 0 if there was none
     started_at: float
@@ -34,4 +37,9 @@
 
     def as_list(self) -> list[dict[str, object]]:
         """Return the records as fields of a log event, oldest first."""
-        return [msgspec.structs.asdict(record) for record in self._records]
+        return [self._as_fields(record) for record in self._records]
+
+    @staticmethod
+    def _as_fields(record: AttemptRecord) -> dict[str, object]:
+        host_port = "" if record.host_port is None else format_host_port(record.host_port)
+        return msgspec.structs.asdict(record) | {"host_port": host_port}
